--- /dev/null
+++ b/src/core.h
@@ -0,0 +1,356 @@
+#pragma once
+
+/**
+ * medlarramp core: what every other library builds on.
+ *
+ * Index of sections:
+ *  [SECTION] Time          the runtime's clock, which tests pause and advance
+ *  [SECTION] Identifiers   request identifiers and idempotency keys
+ *  [SECTION] Findings      problems of an input, collected with their place
+ *  [SECTION] Outcomes      the three outcomes of a request and every reason
+ *  [SECTION] Random        seeded generator for decisions and tests
+ *  [SECTION] Hashes        placement hashes and message authentication
+ *  [SECTION] RCU pointer   snapshots for the request path
+ *  [SECTION] JSON          reading of JSON with findings
+ *  [SECTION] Log           lines on standard error
+ */
+
+#include <array>
+#include <atomic>
+#include <chrono>
+#include <compare>
+#include <condition_variable>
+#include <cstdint>
+#include <functional>
+#include <initializer_list>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include <absl/status/status.h>
+#include <absl/status/statusor.h>
+#include <nlohmann/json.hpp>
+
+namespace Medlarramp {
+
+//-----------------------------------------------------------------------------
+// [SECTION] Time
+//-----------------------------------------------------------------------------
+
+using Duration = std::chrono::microseconds;
+using TimePoint = std::chrono::time_point<std::chrono::steady_clock, Duration>;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/** The runtime's clock. Runs with the monotonic system clock until it is paused. */
+struct Clock {
+    std::atomic<bool> m_paused = false;
+    std::atomic<int64_t> m_pausedAt = 0; ///< monotonic time while paused, in microseconds
+    std::atomic<int64_t> m_pausedWall = 0; ///< time since the Unix epoch while paused, in milliseconds
+};
+
+/** Monotonic time. */
+TimePoint now(const Clock &clock);
+/** Milliseconds since the Unix epoch. Only for identifiers and logs; no safety rests on it. */
+int64_t wallMilliseconds(const Clock &clock);
+/** Stops the clock at @p at; wall time starts at @p wallMilliseconds. */
+void pauseClock(Clock &clock, TimePoint at, int64_t wallMilliseconds);
+/** Advances a paused clock. Asserts that it is paused. */
+void advanceClock(Clock &clock, Duration by);
+/**
+ * Waits on @p condition until @p predicate holds or the clock reaches @p deadline.
+ * @return the value of the predicate.
+ */
+bool waitUntil(const Clock &clock,
+               std::unique_lock<std::mutex> &lock,
+               std::condition_variable &condition,
+               TimePoint deadline,
+               const std::function<bool()> &predicate);
+
+/** Lets threads be told to stop while they sleep. */
+struct StopSignal {
+    std::mutex m_mutex;
+    std::condition_variable m_condition;
+    bool m_stopped = false;
+};
+
+void requestStop(StopSignal &signal);
+bool isStopped(StopSignal &signal);
+/** Sleeps for @p duration on @p clock. @return false when the signal was set meanwhile. */
+bool sleepFor(const Clock &clock, StopSignal &signal, Duration duration);
+
+//-----------------------------------------------------------------------------
+// [SECTION] Identifiers
+//-----------------------------------------------------------------------------
+
+/** 128-bit identifier. Written as a UUID (RFC 9562). */
+struct Identifier {
+    uint64_t m_high = 0;
+    uint64_t m_low = 0;
+
+    auto operator<=>(const Identifier &) const = default;
+};
+
+/** A new UUID version 7, ordered by time. Thread-safe. */
+Identifier makeIdentifier(const Clock &clock);
+std::string toString(const Identifier &identifier);
+/** Parses the 36-character form of a UUID. */
+std::optional<Identifier> parseIdentifier(std::string_view text);
+/** The time in a UUID version 7, in milliseconds since the Unix epoch; nothing for another version. */
+std::optional<int64_t> identifierMilliseconds(const Identifier &identifier);
+
+//-----------------------------------------------------------------------------
+// [SECTION] Findings
+//-----------------------------------------------------------------------------
+
+/** One problem of an input. */
+struct Finding {
+    std::string m_file; ///< file name, or empty for a request body
+    std::string m_pointer; ///< JSON pointer (RFC 6901) of the place
+    std::string m_reason; ///< short sentence without a full stop
+
+    bool operator==(const Finding &) const = default;
+};
+
+using Findings = std::vector<Finding>;
+
+/** One line per finding: "file:pointer: reason". */
+std::string toString(const Findings &findings);
+nlohmann::json toJson(const Findings &findings);
+
+//-----------------------------------------------------------------------------
+// [SECTION] Outcomes
+//-----------------------------------------------------------------------------
+
+/** How a request ended for its caller. */
+enum class Outcome : uint8_t {
+    Answered, ///< the whole answer was given
+    NotRun, ///< certain: no stage with consequences has run
+    Unknown, ///< it may have run
+};
+
+std::string_view toString(Outcome outcome);
+
+/** Why a request was refused, an attempt repeated, a message dropped or an upstream set aside. */
+enum class Reason : uint8_t {
+    None,
+    // Refusals of the input
+    MalformedRequest,
+    BodyTooLarge,
+    UnknownPipeline,
+    UnknownKey,
+    Forbidden,
+    IdempotencyKeyMissing,
+    IdempotencyKeyMismatch,
+    IdempotencyKeyExpired,
+    DeadlineInPast,
+    // Refusals by load
+    RateLimited,
+    ConcurrencyLimited,
+    QueueFull,
+    DeadlineUnreachable,
+    TooManyConnections,
+    Draining,
+    QuotaExceeded,
+    BatchStoreFull,
+    // Refusals by state
+    ConfigurationMissing,
+    CrashGuard,
+    ClaimInProgress,
+    ClaimUnknown,
+    ClaimAnswerNotKept,
+    ClaimOwnerUnavailable,
+    StoreUnavailable,
+    StoreBudgetExhausted,
+    Conflict,
+    NotFound,
+    // Ends and retries of attempts
+    NoUpstream,
+    ConnectFailed,
+    ConnectionLost,
+    ConnectionSilent,
+    AttemptTimeout,
+    DeadlineExceeded,
+    UpstreamRejected,
+    UpstreamOverloaded,
+    UpstreamError,
+    UpstreamLeaving,
+    StreamTruncated,
+    InvalidAnswer,
+    RetryBudgetExhausted,
+    CallerGone,
+    Preempted,
+    Hedged,
+    LateResult,
+    DuplicateResult,
+    // Upstreams set aside
+    OutlierEjected,
+    // Peer messages
+    PeerMessageMalformed,
+    PeerMessageUnauthenticated,
+    PeerMessageReplayed,
+    PeerMessageTooLarge,
+    PeerUnreachable,
+    // Shutdown
+    ShutdownLimit,
+    InternalError,
+    Count, ///< number of reasons, not a reason
+};
+
+/** Name in answers, metrics and logs, such as "queue_full". */
+std::string_view toString(Reason reason);
+std::optional<Reason> parseReason(std::string_view name);
+
+//-----------------------------------------------------------------------------
+// [SECTION] Random
+//-----------------------------------------------------------------------------
+
+/** SplitMix64 generator (Steele, Lea, Flood: Fast Splittable Pseudorandom Number Generators, 2014). */
+struct Random {
+    uint64_t m_state = 0;
+};
+
+uint64_t nextRandom(Random &random);
+/** Uniform in [0, bound). Asserts bound > 0. */
+uint64_t uniformBelow(Random &random, uint64_t bound);
+/** Uniform in [0, 1). */
+double uniformReal(Random &random);
+/** Exponentially distributed with mean @p mean. */
+double exponential(Random &random, double mean);
+/** Seed from the system's entropy source. */
+uint64_t entropySeed();
+
+//-----------------------------------------------------------------------------
+// [SECTION] Hashes
+//-----------------------------------------------------------------------------
+
+/** XXH3, 64 bits. For placement, not for authentication. */
+uint64_t hash64(std::string_view data, uint64_t seed = 0);
+uint64_t combineHash(uint64_t left, uint64_t right);
+
+using Digest = std::array<uint8_t, 32>;
+
+Digest hmacSha256(std::string_view key, std::string_view data);
+Digest sha256(std::string_view data);
+std::string toHex(const Digest &digest);
+std::string toBase64(std::string_view data);
+/** Decodes standard base64 (RFC 4648); nothing when malformed. */
+std::optional<std::string> fromBase64(std::string_view text);
+/** Comparison in constant time. */
+bool equalSecrets(std::string_view left, std::string_view right);
+
+//-----------------------------------------------------------------------------
+// [SECTION] RCU pointer
+//-----------------------------------------------------------------------------
+
+/** Marks a read-side critical section of liburcu; registers the thread on first use. */
+struct RcuReadGuard {
+    RcuReadGuard();
+    ~RcuReadGuard();
+    RcuReadGuard(const RcuReadGuard &) = delete;
+    RcuReadGuard &operator=(const RcuReadGuard &) = delete;
+};
+
+/** Waits until all read-side critical sections that began before the call have ended. */
+void synchronizeRcu();
+
+/** Published snapshot of an immutable value. Readers take no lock; a writer waits for a grace period. */
+template<typename T>
+struct RcuPointer {
+    std::atomic<const std::shared_ptr<const T> *> m_current = nullptr;
+    std::mutex m_writerMutex;
+
+    RcuPointer() = default;
+    RcuPointer(const RcuPointer &) = delete;
+    RcuPointer &operator=(const RcuPointer &) = delete;
+    ~RcuPointer()
+    {
+        delete m_current.load();
+    }
+};
+
+/** The current snapshot; null before the first publication. The caller may keep it. */
+template<typename T>
+std::shared_ptr<const T> snapshot(const RcuPointer<T> &pointer)
+{
+    const RcuReadGuard guard;
+    const auto *current = pointer.m_current.load(std::memory_order_acquire);
+    return current ? *current : nullptr;
+}
+
+template<typename T>
+void publish(RcuPointer<T> &pointer, std::shared_ptr<const T> value)
+{
+    auto next = std::make_unique<const std::shared_ptr<const T>>(std::move(value));
+    const std::lock_guard lock(pointer.m_writerMutex);
+    const std::unique_ptr<const std::shared_ptr<const T>> previous(pointer.m_current.exchange(next.release(), std::memory_order_acq_rel));
+    synchronizeRcu();
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] JSON
+//-----------------------------------------------------------------------------
+
+constexpr size_t MaxJsonDepth = 32; ///< nesting levels accepted from outside
+
+/** Parses text with bounded depth. Reports a finding at the byte where it broke. */
+std::optional<nlohmann::json> parseJson(std::string_view text, const std::string &file, Findings &findings);
+
+/**
+ * Reads the members of one JSON object. Every problem becomes a finding with its JSON pointer.
+ * finishObject() reports members that nobody read.
+ */
+struct ObjectReader {
+    const nlohmann::json *m_object = nullptr;
+    std::string m_file;
+    std::string m_pointer;
+    Findings *m_findings = nullptr;
+    std::vector<std::string> m_known; ///< names asked for
+};
+
+/** Reports a finding and reads as an empty object when @p value is not an object. */
+ObjectReader readObject(const nlohmann::json &value, std::string file, std::string pointer, Findings &findings);
+/** The member, or null when absent. Marks the name as known. */
+const nlohmann::json *member(ObjectReader &reader, const char *name, bool required);
+void addFinding(ObjectReader &reader, const std::string &name, std::string reason);
+void readString(ObjectReader &reader, const char *name, std::string &value, bool required = false, size_t maxLength = 4096);
+void readBool(ObjectReader &reader, const char *name, bool &value);
+void readNumber(ObjectReader &reader, const char *name, double &value, double minimum, double maximum);
+void readInteger(ObjectReader &reader, const char *name, int64_t &value, int64_t minimum, int64_t maximum, bool required = false);
+/** Reads a whole number of milliseconds. */
+void readMilliseconds(ObjectReader &reader, const char *name, Duration &value, milliseconds minimum, milliseconds maximum);
+void readStrings(ObjectReader &reader, const char *name, std::vector<std::string> &value, size_t maxCount = 256);
+/** Calls @p read with each element of an array and its pointer. */
+void readArray(ObjectReader &reader,
+               const char *name,
+               bool required,
+               size_t maxCount,
+               const std::function<void(const nlohmann::json &, const std::string &)> &read);
+void finishObject(ObjectReader &reader);
+
+//-----------------------------------------------------------------------------
+// [SECTION] Log
+//-----------------------------------------------------------------------------
+
+enum class LogLevel : uint8_t { Debug, Info, Warning, Error };
+
+struct LogField {
+    std::string_view m_key;
+    std::string m_value;
+};
+
+/** Lines below the level are dropped. Default: Info. */
+void setLogLevel(LogLevel level);
+std::optional<LogLevel> parseLogLevel(std::string_view name);
+/**
+ * Writes "<time> <level> <part>: <sentence> key=value ..." to standard error.
+ * Equal sentences of one part are limited to MaxEqualLogLines per second; the next line tells how many were left out.
+ */
+void writeLog(LogLevel level, std::string_view part, std::string_view sentence, std::initializer_list<LogField> fields = {});
+constexpr int MaxEqualLogLines = 10; ///< per second
+
+} // namespace Medlarramp
