--- /dev/null
+++ b/src/entry_pipeline.cpp
@@ -0,0 +1,350 @@
+// A request from its first stage to its answer.
+
+#include <algorithm>
+#include <cassert>
+
+#include <fmt/format.h>
+
+#include "entry.h"
+
+namespace Medlarramp {
+
+namespace {
+
+constexpr size_t PrefixBytes = 256; ///< part of a prompt that decides on the replica
+constexpr std::string_view RequestInput = "request";
+
+/** Cost of one attempt, kept until its use is known. */
+struct SpentAttempt {
+    std::string m_stage;
+    Duration m_time{};
+    int64_t m_tokens = 0;
+    bool m_final = false; ///< its result went into the answer
+};
+
+/** What a running request has so far. */
+struct Progress {
+    std::map<std::string, nlohmann::json> m_outputs; ///< by stage name, and the request's input
+    std::vector<SpentAttempt> m_spent;
+    std::optional<Duration> m_firstToken;
+    std::string m_lastFailureDomain; ///< stages of one request are kept near each other
+    bool m_mayHaveRun = false; ///< an attempt of any stage may have reached an upstream
+    bool m_sideEffects = false; ///< an attempt of a non-idempotent stage may have reached an upstream
+};
+
+/** How one stage ended. */
+struct StageResult {
+    Outcome m_outcome = Outcome::Unknown;
+    Reason m_reason = Reason::None;
+    nlohmann::json m_output;
+    std::optional<Duration> m_retryAfter;
+};
+
+std::string asText(const nlohmann::json &value)
+{
+    return value.is_string() ? value.get<std::string>() : value.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+/** Replaces {input} and {stage}. Replaced text is not searched again, so that no input can name another placeholder. */
+std::string fillPrompt(const std::string &pattern, const std::map<std::string, nlohmann::json> &outputs)
+{
+    std::string text;
+    size_t position = 0;
+    while (position < pattern.size()) {
+        const size_t open = pattern.find('{', position);
+        const size_t close = open == std::string::npos ? open : pattern.find('}', open);
+        if (close == std::string::npos) {
+            break;
+        }
+        text += pattern.substr(position, open - position);
+        const std::string name = pattern.substr(open + 1, close - open - 1);
+        const auto found = outputs.find(name == "input" ? std::string(RequestInput) : name);
+        if (found != outputs.end()) {
+            text += found->second.is_null() ? std::string() : asText(found->second);
+        } else {
+            text += pattern.substr(open, close - open + 1);
+        }
+        position = close + 1;
+    }
+    return text + pattern.substr(std::min(position, pattern.size()));
+}
+
+nlohmann::json stageInput(const Stage &stage, const Progress &progress)
+{
+    nlohmann::json input = nlohmann::json::object();
+    for (const std::string &name : stage.m_inputs) {
+        const auto found = progress.m_outputs.find(name);
+        if (found != progress.m_outputs.end()) {
+            input[name] = found->second;
+        }
+    }
+    return input;
+}
+
+UpstreamKind upstreamKind(StageKind kind)
+{
+    switch (kind) {
+    case StageKind::Infer:
+        return UpstreamKind::StagePool;
+    case StageKind::Generate:
+        return UpstreamKind::ModelEngine;
+    case StageKind::Call:
+        return UpstreamKind::PlainService;
+    }
+    return UpstreamKind::StagePool;
+}
+
+/** End of a stage: its share of what was left when it began, and never later than the request's deadline. */
+TimePoint stageDeadline(const AcceptedRequest &request, const Stage &stage, TimePoint start)
+{
+    if (stage.m_deadlineShare <= 0) {
+        return request.m_deadline;
+    }
+    const Duration whole = request.m_deadline - request.m_arrival;
+    const auto share = std::chrono::duration_cast<Duration>(whole * stage.m_deadlineShare);
+    return std::min(request.m_deadline, start + share);
+}
+
+/** The idempotency key of one stage: the caller's key and the stage, so that two stages never share a claim. */
+Identifier stageKey(const Identifier &key, size_t stage)
+{
+    Identifier result = key;
+    result.m_low = (key.m_low & (uint64_t(3) << 62)) | (combineHash(key.m_low, stage) >> 2);
+    return result;
+}
+
+AttemptRequest makeAttempt(const AcceptedRequest &request, size_t index, const Progress &progress)
+{
+    const Stage &stage = request.m_pipeline.m_stages[index];
+    AttemptRequest attempt;
+    attempt.m_request = request.m_identifier;
+    attempt.m_stage = index;
+    attempt.m_kind = upstreamKind(stage.m_kind);
+    attempt.m_model = stage.m_model;
+    attempt.m_path = stage.m_path;
+    attempt.m_maxOutputTokens = stage.m_maxOutputTokens;
+    attempt.m_class = request.m_request.m_class;
+    attempt.m_organisation = request.m_organisation->m_name;
+    if (stage.m_kind == StageKind::Generate) {
+        attempt.m_prompt = stage.m_prompt.empty() ? asText(stageInput(stage, progress)) : fillPrompt(stage.m_prompt, progress.m_outputs);
+    } else {
+        attempt.m_input = stageInput(stage, progress);
+    }
+    if (request.m_idempotencyKey) {
+        attempt.m_idempotencyKey = toString(stageKey(*request.m_idempotencyKey, index));
+    }
+    return attempt;
+}
+
+PlaceRequest makePlaceRequest(const AcceptedRequest &request, const Stage &stage, const AttemptRequest &attempt)
+{
+    PlaceRequest place;
+    place.m_pool = stage.m_pool;
+    place.m_organisation = request.m_organisation->m_name;
+    place.m_weight = request.m_organisation->m_weight;
+    place.m_class = request.m_request.m_class;
+    place.m_contentHash = request.m_contentHash;
+    if (stage.m_kind == StageKind::Generate) {
+        const std::string_view prompt = attempt.m_prompt;
+        place.m_prefixHash = hash64(prompt.substr(0, PrefixBytes), hash64(place.m_organisation));
+    }
+    return place;
+}
+
+/** Whether a failed attempt may be followed by another one. */
+bool mayRepeat(const Stage &stage, const AttemptVerdict &verdict, const Upstream &upstream)
+{
+    if (verdict.m_reason == Reason::CallerGone || verdict.m_reason == Reason::UpstreamRejected) {
+        return false;
+    }
+    return verdict.m_outcome == Outcome::NotRun || stage.m_idempotent || upstream.m_refusesRepeats;
+}
+
+/** Passes text on and measures the time between pieces. */
+TokenSink measuredSink(Blackboard &board, const AcceptedRequest &request, Progress &progress, const TokenSink &sink)
+{
+    auto last = std::make_shared<std::optional<TimePoint>>();
+    return [&board, &request, &progress, sink, last](const std::string &text) {
+        const TimePoint current = now(board.m_clock);
+        if (!progress.m_firstToken) {
+            progress.m_firstToken = current - request.m_arrival;
+        }
+        if (*last) {
+            recordTokenGap(*board.m_metrics, current - **last);
+        }
+        *last = current;
+        return !sink || sink(text);
+    };
+}
+
+/** The attempts of one stage. A non-idempotent stage has been claimed before. */
+struct StageRun {
+    Blackboard &m_board;
+    const AcceptedRequest &m_request;
+    size_t m_index = 0;
+    Progress &m_progress;
+    const TokenSink &m_sink;
+    CancelToken &m_cancel;
+    std::string m_sentText; ///< text that the caller already has
+};
+
+/** Text generated before a break is kept: an engine that resumes goes on from there. */
+void prepareResume(StageRun &run, const Upstream &upstream, const AttemptResult &result, AttemptRequest &attempt)
+{
+    if (upstream.m_resumesStreams && !result.m_text.empty()) {
+        run.m_sentText += result.m_text;
+        attempt.m_prompt += result.m_text;
+        attempt.m_maxOutputTokens = std::max<int64_t>(1, attempt.m_maxOutputTokens - result.m_tokens);
+    }
+}
+
+StageResult finishStage(StageRun &run, const Stage &stage, const AttemptResult &result)
+{
+    StageResult finished{Outcome::Answered, Reason::None, {}, {}};
+    if (stage.m_kind == StageKind::Generate) {
+        finished.m_output = run.m_sentText + result.m_text;
+    } else {
+        finished.m_output = result.m_output;
+    }
+    return finished;
+}
+
+StageResult runAttempts(StageRun &run)
+{
+    Blackboard &board = run.m_board;
+    const Stage &stage = run.m_request.m_pipeline.m_stages[run.m_index];
+    AttemptRequest attempt = makeAttempt(run.m_request, run.m_index, run.m_progress);
+    PlaceRequest wanted = makePlaceRequest(run.m_request, stage, attempt);
+    const TimePoint deadline = stageDeadline(run.m_request, stage, now(board.m_clock));
+    const bool streaming = static_cast<bool>(run.m_sink);
+    const TokenSink sink = measuredSink(board, run.m_request, run.m_progress, run.m_sink);
+    // The worst outcome of all attempts counts: one that may have run stays "unknown" whatever follows.
+    Outcome worst = Outcome::NotRun;
+    while (true) {
+        wanted.m_deadline = deadline;
+        const Place place = acquirePlace(*board.m_pools, wanted, run.m_cancel);
+        if (place.m_refusal != Reason::None) {
+            return {worst, place.m_refusal, {}, {}};
+        }
+        attempt.m_address = place.m_address;
+        attempt.m_deadline = deadline;
+        const AttemptResult result = board.m_upstream.m_run(attempt, sink, run.m_cancel);
+        const AttemptVerdict verdict = classifyAttempt(result.m_evidence, *place.m_upstream);
+        releasePlace(*board.m_pools, wanted, place, result, verdict);
+        if (verdict.m_outcome != Outcome::NotRun) {
+            run.m_progress.m_mayHaveRun = true;
+            run.m_progress.m_sideEffects |= !stage.m_idempotent;
+        }
+        run.m_progress.m_spent.push_back({stage.m_name, result.m_duration, result.m_tokens, verdict.m_outcome == Outcome::Answered});
+        if (verdict.m_outcome == Outcome::Answered) {
+            run.m_progress.m_lastFailureDomain = place.m_failureDomain;
+            return finishStage(run, stage, result);
+        }
+        if (verdict.m_outcome == Outcome::Unknown) {
+            worst = Outcome::Unknown;
+        }
+        const bool textLost = streaming && !result.m_text.empty() && !place.m_upstream->m_resumesStreams;
+        const bool attemptsLeft = attempt.m_attempt + 1 < stage.m_maxAttempts;
+        if (textLost || !attemptsLeft || !mayRepeat(stage, verdict, *place.m_upstream)) {
+            return {worst, textLost ? Reason::StreamTruncated : verdict.m_reason, {}, result.m_retryAfter};
+        }
+        const std::optional<Duration> delay = permitRetry(*board.m_pools, stage.m_pool, attempt.m_attempt, deadline);
+        if (!delay) {
+            countDrop(*board.m_metrics, Reason::RetryBudgetExhausted);
+            return {worst, verdict.m_reason, {}, result.m_retryAfter};
+        }
+        countRetry(*board.m_metrics, verdict.m_reason, stage.m_pool);
+        prepareResume(run, *place.m_upstream, result, attempt);
+        wanted.m_avoid.push_back(place.m_address);
+        ++attempt.m_attempt;
+        StopSignal never;
+        sleepFor(board.m_clock, never, *delay);
+    }
+}
+
+std::string encodeAnswer(const nlohmann::json &output)
+{
+    return output.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+StageResult runClaimed(StageRun &run)
+{
+    Blackboard &board = run.m_board;
+    const AcceptedRequest &request = run.m_request;
+    assert(request.m_idempotencyKey);
+    const Identifier key = stageKey(*request.m_idempotencyKey, run.m_index);
+    const std::string &organisation = request.m_organisation->m_name;
+    const ClaimDecision claim = board.m_claims.m_claim(organisation, key, request.m_contentHash, request.m_identifier, request.m_deadline);
+    if (claim.m_answer || claim.m_outcome == Outcome::Unknown) {
+        run.m_progress.m_mayHaveRun = true;
+        run.m_progress.m_sideEffects = true;
+    }
+    if (claim.m_answer) {
+        return {Outcome::Answered, Reason::None, nlohmann::json::parse(*claim.m_answer, nullptr, false), {}};
+    }
+    if (!claim.m_granted) {
+        return {claim.m_outcome, claim.m_reason, {}, {}};
+    }
+    StageResult result = runAttempts(run);
+    if (result.m_outcome == Outcome::Answered) {
+        board.m_claims.m_finish(organisation, key, request.m_identifier, encodeAnswer(result.m_output));
+    } else if (result.m_outcome == Outcome::NotRun) {
+        board.m_claims.m_finish(organisation, key, request.m_identifier, std::nullopt);
+    }
+    return result;
+}
+
+/** "Not run" holds for a request only if no stage may have run on any upstream. */
+Outcome requestOutcome(const Progress &progress)
+{
+    return progress.m_mayHaveRun ? Outcome::Unknown : Outcome::NotRun;
+}
+
+void settleCosts(Blackboard &board, const AcceptedRequest &request, const Progress &progress, bool answered)
+{
+    for (const SpentAttempt &spent : progress.m_spent) {
+        CostUse use = CostUse::Wasted;
+        if (answered) {
+            use = spent.m_final ? CostUse::Useful : CostUse::Retried;
+        }
+        recordCost(*board.m_metrics, request.m_pipeline.m_name, spent.m_stage, use, spent.m_time, spent.m_tokens);
+    }
+}
+
+} // namespace
+
+PipelineResult runPipeline(Blackboard &board, const AcceptedRequest &request, const TokenSink &sink, CancelToken &cancel)
+{
+    Progress progress;
+    progress.m_outputs[std::string(RequestInput)] = request.m_request.m_input;
+    PipelineResult result;
+    result.m_outcome = Outcome::Answered;
+    result.m_stages = nlohmann::json::object();
+    const std::vector<Stage> &stages = request.m_pipeline.m_stages;
+    for (size_t i = 0; i < stages.size(); ++i) {
+        const Stage &stage = stages[i];
+        const bool last = i + 1 == stages.size();
+        const TokenSink none;
+        const bool streamed = last && stage.m_kind == StageKind::Generate;
+        StageRun run{board, request, i, progress, streamed ? sink : none, cancel, {}};
+        StageResult stageResult = stage.m_idempotent ? runAttempts(run) : runClaimed(run);
+        if (stageResult.m_outcome != Outcome::Answered && stage.m_required) {
+            result.m_outcome = requestOutcome(progress);
+            result.m_reason = stageResult.m_reason;
+            result.m_failedStage = stage.m_name;
+            result.m_retryAfter = stageResult.m_retryAfter;
+            break;
+        }
+        result.m_stages[stage.m_name] = stageResult.m_output;
+        progress.m_outputs[stage.m_name] = std::move(stageResult.m_output);
+    }
+    if (result.m_outcome == Outcome::Answered) {
+        result.m_output = progress.m_outputs[stages.back().m_name];
+    }
+    result.m_sideEffects = progress.m_sideEffects;
+    result.m_firstToken = progress.m_firstToken;
+    settleCosts(board, request, progress, result.m_outcome == Outcome::Answered && !cancel.m_cancelled);
+    return result;
+}
+
+} // namespace Medlarramp
--- a/src/model.cpp
+++ b/src/model.cpp
@@ -184,17 +184,17 @@
 
 } // namespace
 
-std::optional<Template> parseTemplate(const nlohmann::json &value, const std::string &file, Findings &findings)
+std::optional<Template> parseTemplate(const nlohmann::json &value, const std::string &file, Findings &findings, const std::string &pointer)
 {
     const size_t before = findings.size();
     Template pipeline;
-    ObjectReader reader = readObject(value, file, "", findings);
+    ObjectReader reader = readObject(value, file, pointer, findings);
     readName(reader, "name", pipeline.m_name, true);
     readMilliseconds(reader, "default_deadline_ms", pipeline.m_defaultDeadline, milliseconds(1), MaxDeadline);
     readMilliseconds(reader, "max_deadline_ms", pipeline.m_maxDeadline, milliseconds(1), MaxDeadline);
     readMilliseconds(reader, "batch_deadline_ms", pipeline.m_batchDeadline, milliseconds(1), MaxDeadline);
-    readArray(reader, "stages", true, MaxStages, [&](const nlohmann::json &element, const std::string &pointer) {
-        pipeline.m_stages.push_back(parseStage(element, file, pointer, findings));
+    readArray(reader, "stages", true, MaxStages, [&](const nlohmann::json &element, const std::string &place) {
+        pipeline.m_stages.push_back(parseStage(element, file, place, findings));
     });
     if (pipeline.m_stages.size() < MinStages) {
         addFinding(reader, "stages", fmt::format("must have {} to {} stages", MinStages, MaxStages));
@@ -274,11 +274,12 @@
 
 } // namespace
 
-std::optional<Organisation> parseOrganisation(const nlohmann::json &value, const std::string &file, Findings &findings)
+std::optional<Organisation>
+parseOrganisation(const nlohmann::json &value, const std::string &file, Findings &findings, const std::string &pointer)
 {
     const size_t before = findings.size();
     Organisation organisation;
-    ObjectReader reader = readObject(value, file, "", findings);
+    ObjectReader reader = readObject(value, file, pointer, findings);
     readName(reader, "name", organisation.m_name, true);
     readStrings(reader, "key_digests", organisation.m_keyDigests, MaxKeys);
     readStrings(reader, "templates", organisation.m_templates);
@@ -287,8 +288,8 @@
     readInteger(reader, "burst", organisation.m_burst, 1, MaxBurst);
     readInteger(reader, "max_concurrent", organisation.m_maxConcurrent, 0, MaxConcurrentLimit);
     readInteger(reader, "max_batch_jobs", organisation.m_maxBatchJobs, 0, MaxBatchJobsLimit);
-    readArray(reader, "overrides", false, 256, [&](const nlohmann::json &element, const std::string &pointer) {
-        organisation.m_overrides.push_back(parseOverride(element, file, pointer, findings));
+    readArray(reader, "overrides", false, 256, [&](const nlohmann::json &element, const std::string &place) {
+        organisation.m_overrides.push_back(parseOverride(element, file, place, findings));
     });
     finishObject(reader);
     for (const std::string &digest : organisation.m_keyDigests) {
@@ -391,11 +392,11 @@
 
 } // namespace
 
-std::optional<Upstream> parseUpstream(const nlohmann::json &value, const std::string &file, Findings &findings)
+std::optional<Upstream> parseUpstream(const nlohmann::json &value, const std::string &file, Findings &findings, const std::string &pointer)
 {
     const size_t before = findings.size();
     Upstream upstream;
-    ObjectReader reader = readObject(value, file, "", findings);
+    ObjectReader reader = readObject(value, file, pointer, findings);
     readName(reader, "name", upstream.m_name, true);
     readEnum(reader, "kind", UpstreamKindNames, upstream.m_kind, true);
     readStrings(reader, "models", upstream.m_models);
@@ -573,6 +574,52 @@
     return findings;
 }
 
+namespace {
+
+constexpr size_t MaxBundleObjects = 100'000; ///< of one kind
+
+/** Adds the objects of one array to a map by name. */
+template<typename Object, typename Parse>
+void readObjects(ObjectReader &reader, const char *name, std::map<std::string, std::shared_ptr<const Object>> &objects, const Parse &parse)
+{
+    readArray(reader, name, false, MaxBundleObjects, [&](const nlohmann::json &element, const std::string &place) {
+        std::optional<Object> object = parse(element, reader.m_file, *reader.m_findings, place);
+        if (!object) {
+            return;
+        }
+        const std::string key = object->m_name;
+        if (!objects.emplace(key, std::make_shared<const Object>(std::move(*object))).second) {
+            reader.m_findings->push_back({reader.m_file, place + "/name", "is used twice"});
+        }
+    });
+}
+
+} // namespace
+
+std::optional<Configuration> parseConfiguration(const nlohmann::json &value, const std::string &file, Findings &findings)
+{
+    const size_t before = findings.size();
+    Configuration configuration;
+    ObjectReader reader = readObject(value, file, "", findings);
+    readObjects(reader, "templates", configuration.m_templates, parseTemplate);
+    readObjects(reader, "organisations", configuration.m_organisations, parseOrganisation);
+    readObjects(reader, "upstreams", configuration.m_upstreams, parseUpstream);
+    finishObject(reader);
+    for (const auto &[name, organisation] : configuration.m_organisations) {
+        for (const std::string &digest : organisation->m_keyDigests) {
+            configuration.m_organisationByKey.emplace(digest, name);
+        }
+    }
+    if (findings.size() == before) {
+        const Findings references = validateConfiguration(configuration);
+        findings.insert(findings.end(), references.begin(), references.end());
+    }
+    if (findings.size() != before) {
+        return std::nullopt;
+    }
+    return configuration;
+}
+
 std::shared_ptr<const Organisation> organisationOfKey(const Configuration &configuration, std::string_view key)
 {
     const auto name = configuration.m_organisationByKey.find(toHex(sha256(key)));
--- a/src/model.h
+++ b/src/model.h
@@ -71,8 +71,9 @@
 };
 
 bool hasNonIdempotentStage(const Template &pipeline);
-/** @p file names the source in findings; empty for a request body. */
-std::optional<Template> parseTemplate(const nlohmann::json &value, const std::string &file, Findings &findings);
+/** @p file and @p pointer name the place of @p value in findings; empty for the body of an HTTP request. */
+std::optional<Template>
+parseTemplate(const nlohmann::json &value, const std::string &file, Findings &findings, const std::string &pointer = {});
 nlohmann::json toJson(const Template &pipeline);
 
 //-----------------------------------------------------------------------------
@@ -103,7 +104,8 @@
     bool operator==(const Organisation &) const = default;
 };
 
-std::optional<Organisation> parseOrganisation(const nlohmann::json &value, const std::string &file, Findings &findings);
+std::optional<Organisation>
+parseOrganisation(const nlohmann::json &value, const std::string &file, Findings &findings, const std::string &pointer = {});
 nlohmann::json toJson(const Organisation &organisation);
 
 //-----------------------------------------------------------------------------
@@ -142,7 +144,8 @@
     bool operator==(const Upstream &) const = default;
 };
 
-std::optional<Upstream> parseUpstream(const nlohmann::json &value, const std::string &file, Findings &findings);
+std::optional<Upstream>
+parseUpstream(const nlohmann::json &value, const std::string &file, Findings &findings, const std::string &pointer = {});
 nlohmann::json toJson(const Upstream &upstream);
 
 enum class ReplicaState : uint8_t { Live, Leaving };
@@ -176,6 +179,11 @@
     std::map<std::string, std::string> m_organisationByKey; ///< SHA-256 of a key, hexadecimal -> organisation
 };
 
+/**
+ * Reads a bundle {"templates": [], "organisations": [], "upstreams": []}, checks each object and the references between
+ * them. Reports every finding and returns nothing when there is one.
+ */
+std::optional<Configuration> parseConfiguration(const nlohmann::json &value, const std::string &file, Findings &findings);
 /** Checks references between objects: pools, models, kinds, overrides, keys used twice. */
 Findings validateConfiguration(const Configuration &configuration);
 /** The organisation a key belongs to; null when the key is unknown. */
