--- /dev/null
+++ b/src/policy_admission.cpp
@@ -0,0 +1,342 @@
+#include <algorithm>
+#include <cassert>
+#include <cmath>
+
+#include "policy.h"
+
+namespace Medlarramp {
+
+namespace {
+
+constexpr double MicrosecondsPerSecond = 1e6;
+constexpr double EstimateGain = 0.05; ///< weight of a new sample
+constexpr double MinWeight = 1e-3; ///< keeps start tags finite for an organisation of weight 0
+constexpr double MinCost = 1e-3;
+constexpr double MaxBatchCredit = 4; ///< cost units; a longer wait earns no larger burst of batch
+/// The service estimate is used for refusals only after this many samples.
+constexpr uint64_t MinEstimateSamples = 10;
+
+double toSeconds(Duration duration)
+{
+    return static_cast<double>(duration.count()) / MicrosecondsPerSecond;
+}
+
+Duration fromSeconds(double value)
+{
+    return Duration(static_cast<int64_t>(value * MicrosecondsPerSecond));
+}
+
+FairQueue &queueOf(Admission &admission, RequestClass requestClass)
+{
+    return requestClass == RequestClass::Urgent ? admission.m_urgent : admission.m_batch;
+}
+
+double startTag(const FairQueue &queue, const OrganisationQueue &organisation)
+{
+    return std::max(queue.m_virtualTime, organisation.m_finishTag);
+}
+
+void eraseHead(FairQueue &queue, uint64_t organisation)
+{
+    auto it = queue.m_order.begin();
+    while (it != queue.m_order.end() && it->second != organisation) {
+        ++it;
+    }
+    if (it != queue.m_order.end()) {
+        queue.m_order.erase(it);
+    }
+}
+
+/** Forgets organisations without waiting requests whose last start lies in the virtual past. */
+void forgetIdle(FairQueue &queue)
+{
+    std::erase_if(queue.m_queues, [&](const auto &entry) {
+        return entry.second.m_requests.empty() && (queue.m_size == 0 || entry.second.m_finishTag <= queue.m_virtualTime);
+    });
+    if (queue.m_size == 0) {
+        queue.m_virtualTime = 0;
+    }
+}
+
+void pushRequest(FairQueue &queue, const AdmissionRequest &request)
+{
+    OrganisationQueue &organisation = queue.m_queues[request.m_organisation];
+    if (organisation.m_requests.empty()) {
+        queue.m_order.emplace(startTag(queue, organisation), request.m_organisation);
+    }
+    organisation.m_requests.push_back(request);
+    queue.m_size += 1;
+    queue.m_cost += request.m_cost;
+}
+
+/** Removes the request that is next in fair order. */
+AdmissionRequest popRequest(FairQueue &queue, bool charge)
+{
+    assert(!queue.m_order.empty());
+    const auto [tag, key] = *queue.m_order.begin();
+    queue.m_order.erase(queue.m_order.begin());
+    OrganisationQueue &organisation = queue.m_queues[key];
+    AdmissionRequest request = organisation.m_requests.front();
+    organisation.m_requests.pop_front();
+    queue.m_size -= 1;
+    queue.m_cost = queue.m_size == 0 ? 0 : queue.m_cost - request.m_cost;
+    if (charge) {
+        queue.m_virtualTime = tag;
+        organisation.m_finishTag = tag + std::max(request.m_cost, MinCost) / std::max(request.m_weight, MinWeight);
+    }
+    if (!organisation.m_requests.empty()) {
+        queue.m_order.emplace(startTag(queue, organisation), key);
+    }
+    forgetIdle(queue);
+    return request;
+}
+
+Duration expectedService(const Admission &admission, const AdmissionRequest &request)
+{
+    if (admission.m_service.m_samples < MinEstimateSamples) {
+        return Duration{0};
+    }
+    return fromSeconds(admission.m_service.m_mean * request.m_cost);
+}
+
+bool canMeetDeadline(const Admission &admission, const AdmissionRequest &request, Duration wait, TimePoint now)
+{
+    return now + wait + expectedService(admission, request) + request.m_remaining <= request.m_deadline;
+}
+
+/** A stale estimate would refuse everything and never be corrected, so a request is tried from time to time. */
+bool takeProbe(Admission &admission, const AdmissionRequest &request, TimePoint now)
+{
+    if (request.m_deadline <= now || now < admission.m_nextProbe) {
+        return false;
+    }
+    admission.m_nextProbe = now + admission.m_settings.m_probeInterval;
+    return true;
+}
+
+void startRequest(Admission &admission, const AdmissionRequest &request, bool guaranteed, TimePoint now, AdmissionActions &actions)
+{
+    admission.m_running.emplace(request.m_id, RunningRequest{request, now, guaranteed, false});
+    admission.m_runningUrgent += request.m_class == RequestClass::Urgent ? 1 : 0;
+    actions.m_start.push_back(request.m_id);
+}
+
+/** Starts the next startable request of a class. @return its cost, or 0 when none is left. */
+double startNext(Admission &admission, RequestClass requestClass, bool guaranteed, TimePoint now, AdmissionActions &actions)
+{
+    FairQueue &queue = queueOf(admission, requestClass);
+    while (queue.m_size > 0) {
+        const OrganisationQueue &organisation = queue.m_queues[queue.m_order.begin()->second];
+        const AdmissionRequest &next = organisation.m_requests.front();
+        const bool startable = canMeetDeadline(admission, next, Duration{0}, now) || takeProbe(admission, next, now);
+        const AdmissionRequest request = popRequest(queue, startable);
+        if (startable) {
+            startRequest(admission, request, guaranteed, now, actions);
+            return std::max(request.m_cost, MinCost);
+        }
+        actions.m_refuse.push_back({request.m_id, Reason::DeadlineUnreachable});
+    }
+    return 0;
+}
+
+void earnBatchCredit(Admission &admission, double urgentCost)
+{
+    const double share = std::clamp(admission.m_settings.m_batchShare, 0.0, 0.5);
+    admission.m_batchCredit = std::min(MaxBatchCredit, admission.m_batchCredit + urgentCost * share / (1 - share));
+}
+
+size_t freePlaces(const Admission &admission)
+{
+    const auto places = static_cast<size_t>(std::max(0.0, std::floor(admission.m_capacity)));
+    return places > admission.m_running.size() ? places - admission.m_running.size() : 0;
+}
+
+bool startOne(Admission &admission, TimePoint now, AdmissionActions &actions)
+{
+    const bool owed = admission.m_batchCredit >= 1 && admission.m_batch.m_size > 0;
+    if (owed) {
+        const double cost = startNext(admission, RequestClass::Batch, admission.m_urgent.m_size > 0, now, actions);
+        admission.m_batchCredit = std::max(0.0, admission.m_batchCredit - cost);
+        if (cost > 0) {
+            return true;
+        }
+    }
+    const double urgentCost = startNext(admission, RequestClass::Urgent, false, now, actions);
+    if (urgentCost > 0) {
+        earnBatchCredit(admission, urgentCost);
+        return true;
+    }
+    return startNext(admission, RequestClass::Batch, false, now, actions) > 0;
+}
+
+double lossOf(const Admission &admission, const RunningRequest &running, TimePoint now)
+{
+    const double share = running.m_request.m_resumable ? admission.m_settings.m_resumeCost : 1.0;
+    return share * toSeconds(now - running.m_started);
+}
+
+/** The running batch request that loses least, or null. */
+RunningRequest *cheapestVictim(Admission &admission, TimePoint now)
+{
+    RunningRequest *best = nullptr;
+    double bestLoss = 0;
+    for (auto &[id, running] : admission.m_running) {
+        const bool eligible = running.m_request.m_class == RequestClass::Batch && running.m_request.m_preemptible && !running.m_guaranteed
+            && !running.m_preempted;
+        if (!eligible) {
+            continue;
+        }
+        const double loss = lossOf(admission, running, now);
+        const bool better = !best || loss < bestLoss || (loss == bestLoss && id < best->m_request.m_id);
+        if (better) {
+            best = &running;
+            bestLoss = loss;
+        }
+    }
+    return best;
+}
+
+/** Frees places for the urgent requests that wait after every free place is taken. */
+void preemptBatch(Admission &admission, TimePoint now, AdmissionActions &actions)
+{
+    while (admission.m_urgent.m_size > admission.m_stopping) {
+        RunningRequest *victim = cheapestVictim(admission, now);
+        if (!victim) {
+            return;
+        }
+        const double loss = lossOf(admission, *victim, now);
+        if (loss > admission.m_wasteAllowance) {
+            return;
+        }
+        admission.m_wasteAllowance -= loss;
+        admission.m_wastedSeconds += loss;
+        victim->m_preempted = true;
+        admission.m_stopping += 1;
+        actions.m_preempt.push_back(victim->m_request.m_id);
+    }
+}
+
+void refuseUnreachable(Admission &admission, TimePoint now, AdmissionActions &actions)
+{
+    for (FairQueue *queue : {&admission.m_urgent, &admission.m_batch}) {
+        bool removed = true;
+        while (removed && queue->m_size > 0) {
+            const OrganisationQueue &organisation = queue->m_queues[queue->m_order.begin()->second];
+            removed = organisation.m_requests.front().m_deadline <= now;
+            if (removed) {
+                actions.m_refuse.push_back({popRequest(*queue, false).m_id, Reason::DeadlineUnreachable});
+            }
+        }
+    }
+}
+
+} // namespace
+
+void addSample(DurationEstimate &estimate, Duration sample)
+{
+    const double value = toSeconds(sample);
+    estimate.m_samples += 1;
+    const double gain = std::max(EstimateGain, 1.0 / static_cast<double>(estimate.m_samples));
+    const double error = value - estimate.m_mean;
+    estimate.m_mean += gain * error;
+    estimate.m_deviation += gain * (std::abs(error) - estimate.m_deviation);
+}
+
+Duration meanOf(const DurationEstimate &estimate)
+{
+    return fromSeconds(estimate.m_mean);
+}
+
+Duration upperOf(const DurationEstimate &estimate, double deviations)
+{
+    return fromSeconds(estimate.m_mean + deviations * estimate.m_deviation);
+}
+
+Duration expectedWait(const Admission &admission, RequestClass requestClass)
+{
+    const bool urgent = requestClass == RequestClass::Urgent;
+    const size_t busy = urgent ? admission.m_runningUrgent : admission.m_running.size();
+    const double places = std::max(1.0, admission.m_capacity);
+    if (admission.m_service.m_samples < MinEstimateSamples || static_cast<double>(busy) < places) {
+        return Duration{0};
+    }
+    const double ahead = admission.m_urgent.m_cost + (urgent ? 0 : admission.m_batch.m_cost);
+    return fromSeconds(ahead * admission.m_service.m_mean / places);
+}
+
+Reason enqueueRequest(Admission &admission, const AdmissionRequest &request, TimePoint now)
+{
+    const AdmissionSettings &settings = admission.m_settings;
+    FairQueue &queue = queueOf(admission, request.m_class);
+    const size_t bound = request.m_class == RequestClass::Urgent ? settings.m_maxQueuedUrgent : settings.m_maxQueuedBatch;
+    const auto own = queue.m_queues.find(request.m_organisation);
+    const size_t ownSize = own == queue.m_queues.end() ? 0 : own->second.m_requests.size();
+    if (queue.m_size >= bound || ownSize >= settings.m_maxQueuedByOrganisation) {
+        return Reason::QueueFull;
+    }
+    // With one organisation in the queue the wait is known; with several, fair order may serve this one earlier.
+    const bool alone = queue.m_queues.size() <= (own == queue.m_queues.end() ? 0U : 1U);
+    const Duration wait = alone ? expectedWait(admission, request.m_class) : Duration{0};
+    if (!canMeetDeadline(admission, request, wait, now) && !takeProbe(admission, request, now)) {
+        return Reason::DeadlineUnreachable;
+    }
+    pushRequest(queue, request);
+    return Reason::None;
+}
+
+void dispatchRequests(Admission &admission, double capacity, TimePoint now, AdmissionActions &actions)
+{
+    actions.m_start.clear();
+    actions.m_refuse.clear();
+    actions.m_preempt.clear();
+    admission.m_capacity = capacity;
+    refuseUnreachable(admission, now, actions);
+    for (size_t places = freePlaces(admission); places > 0; --places) {
+        if (!startOne(admission, now, actions)) {
+            break;
+        }
+    }
+    preemptBatch(admission, now, actions);
+}
+
+void finishRequest(Admission &admission, uint64_t id, Finish finish, TimePoint now)
+{
+    const auto it = admission.m_running.find(id);
+    assert(it != admission.m_running.end());
+    const RunningRequest running = it->second;
+    admission.m_running.erase(it);
+    admission.m_runningUrgent -= running.m_request.m_class == RequestClass::Urgent ? 1 : 0;
+    admission.m_stopping -= running.m_preempted ? 1 : 0;
+    const double held = toSeconds(now - running.m_started);
+    if (finish != Finish::Useful) {
+        return;
+    }
+    addSample(admission.m_service, fromSeconds(held / std::max(running.m_request.m_cost, MinCost)));
+    admission.m_usefulSeconds += held;
+    admission.m_wasteAllowance =
+        std::min(toSeconds(admission.m_settings.m_wasteBurst), admission.m_wasteAllowance + held * admission.m_settings.m_wasteShare);
+}
+
+bool withdrawRequest(Admission &admission, uint64_t id, uint64_t organisation, RequestClass requestClass)
+{
+    FairQueue &queue = queueOf(admission, requestClass);
+    const auto own = queue.m_queues.find(organisation);
+    if (own == queue.m_queues.end()) {
+        return false;
+    }
+    std::deque<AdmissionRequest> &requests = own->second.m_requests;
+    const auto it = std::find_if(requests.begin(), requests.end(), [id](const AdmissionRequest &request) { return request.m_id == id; });
+    if (it == requests.end()) {
+        return false;
+    }
+    queue.m_size -= 1;
+    queue.m_cost = queue.m_size == 0 ? 0 : queue.m_cost - it->m_cost;
+    requests.erase(it);
+    if (requests.empty()) {
+        eraseHead(queue, organisation);
+    }
+    forgetIdle(queue);
+    return true;
+}
+
+} // namespace Medlarramp
