Route stages through the policy decisions

Each pool of an entry runs admission, adaptive limits, routing, retries, outlier ejection, the crash guard and replica presence under a lock of its own. A batch attempt can be preempted and continues from the text it has.

--- a/src/entry.h
+++ b/src/entry.h
@@ -94,12 +94,25 @@
 // [SECTION] Pools
 //-----------------------------------------------------------------------------
 
-/** The pools of one entry, with the state of each replica. */
+/** The pools of one entry, with the state of each replica. One lock a pool; decisions under it take microseconds. */
 struct Pools;
 
-std::shared_ptr<Pools> makePools(const Clock &clock, std::string failureDomain, std::shared_ptr<Metrics> metrics);
-/** Takes over the replicas and properties in force; replicas that are gone get no new work. */
-void updatePools(Pools &pools, const Configuration &configuration, const std::vector<Replica> &replicas);
+/** Called when this entry refuses a content from now on, to tell the others. */
+using BlameSink = std::function<void(const CrashBlame &)>;
+
+std::shared_ptr<Pools> makePools(const Clock &clock, std::string failureDomain, std::shared_ptr<Metrics> metrics, uint64_t seed);
+void setBlameSink(Pools &pools, BlameSink sink);
+
+/** What the pools are built from. */
+struct PoolInputs {
+    std::shared_ptr<const Configuration> m_configuration;
+    std::vector<Replica> m_replicas; ///< from the VM list
+    uint64_t m_self = 0; ///< key of this entry
+    std::vector<uint64_t> m_nodes; ///< keys of the live entries, this one among them
+};
+
+/** Takes over the replicas and properties in force; replicas that are gone or leave get no new work. */
+void updatePools(Pools &pools, const PoolInputs &inputs);
 
 /** Who asks for a place on a replica. */
 struct PlaceRequest {
@@ -107,31 +120,55 @@
     std::string m_organisation;
     double m_weight = 1;
     RequestClass m_class = RequestClass::Urgent;
-    uint64_t m_prefixHash = 0; ///< hash of the prompt prefix; 0: none
+    std::string m_prompt; ///< its prefixes decide on the replica; empty: none
     uint64_t m_contentHash = 0; ///< hash of the request's content without identifiers
-    TimePoint m_deadline;
-    std::vector<Address> m_avoid; ///< replicas that failed this request
+    TimePoint m_deadline; ///< of the stage
+    Duration m_remaining{}; ///< expected time of the stages after this one
+    int64_t m_attemptsLeft = 0; ///< that may follow this one
+    int m_attempt = 0; ///< from 0
+    bool m_idempotent = true;
+    bool m_resumable = false; ///< a preempted run continues where it stopped
+    std::vector<uint64_t> m_avoid; ///< keys of replicas that failed this request
 };
 
 /** A place on a replica, or the reason why there is none. */
 struct Place {
     std::shared_ptr<const Upstream> m_upstream;
     Address m_address;
-    std::string m_failureDomain;
+    uint64_t m_replica = 0; ///< key of the replica
     uint64_t m_ticket = 0;
+    TimePoint m_deadline; ///< of the attempt
     Reason m_refusal = Reason::None;
 };
 
-/** Waits for a place until the deadline at the latest. */
+/** Waits for a place until the deadline at the latest. @p cancel is set when the place is taken back for urgent work. */
 Place acquirePlace(Pools &pools, const PlaceRequest &request, CancelToken &cancel);
-/** Gives the place back and lets the pool learn from the result. */
-void releasePlace(Pools &pools,
+/** Gives the place back and lets the pool learn from the result. @return true when the attempt was preempted. */
+bool releasePlace(Pools &pools,
                   const PlaceRequest &request,
                   const Place &place,
                   const AttemptResult &result,
                   const AttemptVerdict &verdict);
-/** Whether another attempt may be made now, and after what delay. Spends the pool's retry budget. */
-std::optional<Duration> permitRetry(Pools &pools, const std::string &pool, int attempt, TimePoint deadline);
+/** Whether another attempt may be made, and after what delay. Spends the pool's retry budget. */
+RetryDecision permitRetry(Pools &pools, const std::string &pool, const FailedAttempt &failed);
+/** Mean time of a stage on the pool; zero before the first one. */
+Duration expectedStageTime(Pools &pools, const std::string &pool);
+bool isRefusedContent(Pools &pools, uint64_t contentHash);
+/** Takes over the verdict of another entry. */
+void acceptBlame(Pools &pools, const CrashBlame &blame);
+
+/** State of one pool, for status and metrics. */
+struct PoolStatus {
+    std::string m_name;
+    size_t m_replicas = 0;
+    size_t m_usable = 0;
+    size_t m_running = 0;
+    size_t m_queuedUrgent = 0;
+    size_t m_queuedBatch = 0;
+    double m_capacity = 0; ///< sum of the adaptive limits of the usable replicas
+};
+
+std::vector<PoolStatus> poolStatus(Pools &pools);
 
 //-----------------------------------------------------------------------------
 // [SECTION] Blackboard
@@ -171,6 +208,9 @@
     std::atomic<bool> m_draining = false; ///< not ready any more; requests are still accepted
     std::atomic<bool> m_refusing = false; ///< new requests are refused; accepted ones end
     std::atomic<int64_t> m_openRequests = 0; ///< accepted and not yet answered
+    std::mutex m_limitsMutex;
+    OrganisationLimits m_limits; ///< under m_limitsMutex
+    std::atomic<int64_t> m_liveEntries = 1; ///< for the share of a rate limit that this entry grants
 };
 
 //-----------------------------------------------------------------------------
--- a/src/entry_http.cpp
+++ b/src/entry_http.cpp
@@ -210,12 +210,6 @@
     return allowed.empty() || std::find(allowed.begin(), allowed.end(), pipeline) != allowed.end();
 }
 
-/** Identifies the content of a request: what is run, without identifiers, deadline and class. */
-uint64_t contentHash(const Template &pipeline, const nlohmann::json &input)
-{
-    return hash64(dumpJson(input), hash64(pipeline.m_name));
-}
-
 /** Reads the Idempotency-Key header. Adds a finding when it is malformed. */
 std::optional<Identifier> readIdempotencyKey(const httplib::Request &request, Findings &findings)
 {
@@ -291,8 +285,12 @@
     }
     const Duration deadline = accepted.m_request.m_deadline.value_or(accepted.m_pipeline.m_defaultDeadline);
     accepted.m_deadline = accepted.m_arrival + std::min(deadline, accepted.m_pipeline.m_maxDeadline);
-    accepted.m_contentHash = contentHash(accepted.m_pipeline, accepted.m_request.m_input);
+    accepted.m_contentHash = contentHash(accepted.m_pipeline.m_name, accepted.m_request.m_input);
     accepted.m_identifier = makeIdentifier(board.m_clock);
+    if (isRefusedContent(*board.m_pools, accepted.m_contentHash)) {
+        refuse(board, response, Reason::CrashGuard, requestClass);
+        return std::nullopt;
+    }
     return accepted;
 }
 
@@ -318,6 +316,30 @@
     Blackboard &m_board;
 };
 
+/** Counts a request against its organisation's limits for as long as it lives. */
+struct LimitedRequest {
+    LimitedRequest(Blackboard &board, std::shared_ptr<const Organisation> organisation)
+        : m_board(board), m_organisation(std::move(organisation))
+    {
+        const double share = 1.0 / static_cast<double>(std::max<int64_t>(1, board.m_liveEntries));
+        const std::lock_guard lock(board.m_limitsMutex);
+        m_decision = beginOrganisationRequest(board.m_limits, *m_organisation, share, now(board.m_clock));
+    }
+    ~LimitedRequest()
+    {
+        if (m_decision.m_reason == Reason::None) {
+            const std::lock_guard lock(m_board.m_limitsMutex);
+            endOrganisationRequest(m_board.m_limits, *m_organisation);
+        }
+    }
+    LimitedRequest(const LimitedRequest &) = delete;
+    LimitedRequest &operator=(const LimitedRequest &) = delete;
+
+    Blackboard &m_board;
+    std::shared_ptr<const Organisation> m_organisation;
+    RateDecision m_decision;
+};
+
 std::string tierOf(const Organisation &organisation)
 {
     constexpr double MediumWeight = 1;
@@ -375,12 +397,15 @@
     return fmt::format("event: {}\ndata: {}\n\n", event, dumpJson(data));
 }
 
-void answerStream(Blackboard &board, std::shared_ptr<AcceptedRequest> accepted, httplib::Response &response)
+void answerStream(Blackboard &board,
+                  std::shared_ptr<AcceptedRequest> accepted,
+                  std::shared_ptr<LimitedRequest> limited,
+                  httplib::Response &response)
 {
-    // The response outlives the handler, so the open request is owned by the provider.
+    // The response outlives the handler, so the provider owns what has to live as long as the request.
     auto open = std::make_shared<OpenRequest>(board);
     response.set_header("Cache-Control", "no-store");
-    response.set_chunked_content_provider(EventStreamType, [&board, accepted, open](size_t /*offset*/, httplib::DataSink &sink) {
+    response.set_chunked_content_provider(EventStreamType, [&board, accepted, open, limited](size_t /*offset*/, httplib::DataSink &sink) {
         CancelToken cancel;
         const auto write = [&sink](const std::string &text) { return sink.write(text.data(), text.size()); };
         const PipelineResult result = runPipeline(
@@ -408,8 +433,16 @@
     if (!accepted) {
         return;
     }
+    auto limited = std::make_shared<LimitedRequest>(board, accepted->m_organisation);
+    if (limited->m_decision.m_reason != Reason::None) {
+        countRefusal(*board.m_metrics, limited->m_decision.m_reason, accepted->m_request.m_class);
+        response.status = httpStatus(Outcome::NotRun, limited->m_decision.m_reason);
+        response.set_content(dumpJson(errorBody(Outcome::NotRun, limited->m_decision.m_reason, {}, limited->m_decision.m_retryAfter)),
+                             JsonType);
+        return;
+    }
     if (accepted->m_request.m_stream) {
-        answerStream(board, std::make_shared<AcceptedRequest>(std::move(*accepted)), response);
+        answerStream(board, std::make_shared<AcceptedRequest>(std::move(*accepted)), std::move(limited), response);
         return;
     }
     CancelToken cancel;
--- a/src/entry_process.cpp
+++ b/src/entry_process.cpp
@@ -9,6 +9,10 @@
 namespace Medlarramp {
 
 struct Entry {
+    Entry(Clock &clock, const Settings &settings) : m_clock(clock), m_board{clock, settings}
+    {
+    }
+
     Clock &m_clock;
     ConnectionPools m_connections;
     Blackboard m_board;
@@ -62,15 +66,16 @@
 
 std::shared_ptr<Entry> makeEntry(const Settings &settings, Clock &clock, EntryParts &parts)
 {
-    std::shared_ptr<Entry> entry(new Entry{clock, {}, {clock, settings}});
+    auto entry = std::make_shared<Entry>(clock, settings);
     Blackboard &board = entry->m_board;
     board.m_upstream = parts.m_upstream.m_run ? parts.m_upstream : makeUpstreamClient(entry->m_connections, clock);
     board.m_claims = parts.m_claims.m_claim ? parts.m_claims : refusingClaims();
     board.m_metrics = makeMetrics();
-    board.m_pools = makePools(clock, settings.m_failureDomain, board.m_metrics);
+    board.m_pools = makePools(clock, settings.m_failureDomain, board.m_metrics, entropySeed());
     if (parts.m_configuration) {
         publish(board.m_configuration, parts.m_configuration);
-        updatePools(*board.m_pools, *parts.m_configuration, parts.m_replicas);
+        const uint64_t self = hash64(settings.m_node);
+        updatePools(*board.m_pools, {parts.m_configuration, parts.m_replicas, self, {self}});
         board.m_ready = true;
     }
     return entry;
