--- a/src/upstream_pool.cpp
+++ b/src/upstream_pool.cpp
@@ -1,6 +1,7 @@
 #include <algorithm>
 #include <cassert>
 #include <cerrno>
+#include <csignal>
 
 #include <fcntl.h>
 #include <sys/socket.h>
@@ -218,6 +219,8 @@
 {
     const std::lock_guard lock(state.m_watchMutex);
     if (!state.m_thread.joinable()) {
+        // The HTTP library writes without MSG_NOSIGNAL, so a closed connection would end the process.
+        std::signal(SIGPIPE, SIG_IGN);
         state.m_clock = &clock;
         state.m_thread = std::thread([&state] { runWatch(state); });
     }
