--- a/src/core.h
+++ b/src/core.h
@@ -11,18 +11,22 @@
  *  [SECTION] Random        seeded generator for decisions and tests
  *  [SECTION] Hashes        placement hashes and message authentication
  *  [SECTION] RCU pointer   snapshots for the request path
+ *  [SECTION] Shared map    large map whose copies share what did not change
  *  [SECTION] JSON          reading of JSON with findings
  *  [SECTION] Log           lines on standard error
  */
 
+#include <algorithm>
 #include <array>
 #include <atomic>
+#include <cassert>
 #include <chrono>
 #include <compare>
 #include <condition_variable>
 #include <cstdint>
 #include <functional>
 #include <initializer_list>
+#include <iterator>
 #include <memory>
 #include <mutex>
 #include <optional>
@@ -291,6 +295,222 @@
     synchronizeRcu();
 }
 
+//-----------------------------------------------------------------------------
+// [SECTION] Shared map
+//-----------------------------------------------------------------------------
+
+/**
+ * Map in key order with the interface of std::map that configuration needs. Entries are kept in chunks that copies
+ * share; a change copies one chunk. A copy costs one reference count per chunk, about size / 96.
+ * Copies may be used by different threads; one map may not be changed while another thread uses it.
+ * Iterators end with the next change.
+ */
+template<typename Value>
+struct SharedMap {
+    using value_type = std::pair<std::string, Value>;
+    using Chunk = std::vector<value_type>;
+    static constexpr size_t MaxChunk = 128; ///< entries; a full chunk is split in halves
+
+    struct Slot {
+        std::shared_ptr<Chunk> m_chunk; ///< never empty
+        bool m_owned = false; ///< no copy of the map shares the chunk
+    };
+
+    struct const_iterator {
+        using iterator_category = std::forward_iterator_tag;
+        using value_type = SharedMap::value_type;
+        using difference_type = std::ptrdiff_t;
+        using pointer = const value_type *;
+        using reference = const value_type &;
+
+        const SharedMap *m_map = nullptr;
+        size_t m_slot = 0;
+        size_t m_index = 0;
+
+        reference operator*() const
+        {
+            return (*m_map->m_slots[m_slot].m_chunk)[m_index];
+        }
+        pointer operator->() const
+        {
+            return &**this;
+        }
+        const_iterator &operator++()
+        {
+            if (++m_index == m_map->m_slots[m_slot].m_chunk->size()) {
+                ++m_slot;
+                m_index = 0;
+            }
+            return *this;
+        }
+        const_iterator operator++(int)
+        {
+            const_iterator before = *this;
+            ++*this;
+            return before;
+        }
+        bool operator==(const const_iterator &) const = default;
+    };
+
+    std::vector<Slot> m_slots; ///< in key order
+    size_t m_size = 0;
+    mutable std::atomic<bool> m_copied = false; ///< a copy shares all chunks since the last change
+
+    SharedMap() = default;
+    SharedMap(std::initializer_list<value_type> entries)
+    {
+        for (const value_type &entry : entries) {
+            emplace(entry.first, entry.second);
+        }
+    }
+    SharedMap(const SharedMap &other) : m_slots(other.m_slots), m_size(other.m_size), m_copied(true)
+    {
+        other.m_copied.store(true, std::memory_order_relaxed);
+    }
+    SharedMap &operator=(const SharedMap &other)
+    {
+        if (this != &other) {
+            m_slots = other.m_slots;
+            m_size = other.m_size;
+            m_copied.store(true, std::memory_order_relaxed);
+            other.m_copied.store(true, std::memory_order_relaxed);
+        }
+        return *this;
+    }
+    ~SharedMap() = default;
+
+    [[nodiscard]] const_iterator begin() const
+    {
+        return {this, 0, 0};
+    }
+    [[nodiscard]] const_iterator end() const
+    {
+        return {this, m_slots.size(), 0};
+    }
+    [[nodiscard]] size_t size() const
+    {
+        return m_size;
+    }
+    [[nodiscard]] bool empty() const
+    {
+        return m_size == 0;
+    }
+    /** The first entry whose key is not less than @p key. */
+    [[nodiscard]] const_iterator lower_bound(std::string_view key) const
+    {
+        const auto slot =
+            std::partition_point(m_slots.begin(), m_slots.end(), [key](const Slot &entry) { return entry.m_chunk->back().first < key; });
+        if (slot == m_slots.end()) {
+            return end();
+        }
+        const auto entry = std::partition_point(
+            slot->m_chunk->begin(), slot->m_chunk->end(), [key](const value_type &candidate) { return candidate.first < key; });
+        return {this, static_cast<size_t>(slot - m_slots.begin()), static_cast<size_t>(entry - slot->m_chunk->begin())};
+    }
+    [[nodiscard]] const_iterator find(std::string_view key) const
+    {
+        const const_iterator position = lower_bound(key);
+        return position != end() && position->first == key ? position : end();
+    }
+    [[nodiscard]] bool contains(std::string_view key) const
+    {
+        return find(key) != end();
+    }
+    /** Asserts that the key exists. */
+    [[nodiscard]] const Value &at(std::string_view key) const
+    {
+        const const_iterator position = find(key);
+        assert(position != end());
+        return position->second;
+    }
+    /** Leaves an existing entry as it is. */
+    std::pair<const_iterator, bool> emplace(std::string key, Value value)
+    {
+        const const_iterator existing = find(key);
+        if (existing != end()) {
+            return {existing, false};
+        }
+        return {insert(lower_bound(key), std::move(key), std::move(value)), true};
+    }
+    std::pair<const_iterator, bool> insert_or_assign(std::string key, Value value)
+    {
+        const const_iterator existing = find(key);
+        if (existing == end()) {
+            return {insert(lower_bound(key), std::move(key), std::move(value)), true};
+        }
+        own(existing.m_slot)[existing.m_index].second = std::move(value);
+        return {existing, false};
+    }
+    /** The value of @p key, added when missing. The reference ends with the next change or copy. */
+    Value &operator[](const std::string &key)
+    {
+        const const_iterator position = emplace(key, Value()).first;
+        return own(position.m_slot)[position.m_index].second;
+    }
+    size_t erase(std::string_view key)
+    {
+        const const_iterator position = find(key);
+        if (position == end()) {
+            return 0;
+        }
+        Chunk &chunk = own(position.m_slot);
+        chunk.erase(chunk.begin() + static_cast<std::ptrdiff_t>(position.m_index));
+        if (chunk.empty()) {
+            m_slots.erase(m_slots.begin() + static_cast<std::ptrdiff_t>(position.m_slot));
+        }
+        --m_size;
+        return 1;
+    }
+
+private:
+    /** The chunk of a slot, copied first when it is shared. */
+    Chunk &own(size_t index)
+    {
+        if (m_copied.exchange(false, std::memory_order_relaxed)) {
+            for (Slot &slot : m_slots) {
+                slot.m_owned = false;
+            }
+        }
+        Slot &slot = m_slots[index];
+        if (!slot.m_owned) {
+            slot.m_chunk = std::make_shared<Chunk>(*slot.m_chunk);
+            slot.m_owned = true;
+        }
+        return *slot.m_chunk;
+    }
+    const_iterator insert(const_iterator position, std::string key, Value value)
+    {
+        ++m_size;
+        if (m_slots.empty()) {
+            m_slots.push_back({std::make_shared<Chunk>(), true});
+            m_slots[0].m_chunk->emplace_back(std::move(key), std::move(value));
+            return begin();
+        }
+        if (position == end()) {
+            position = {this, m_slots.size() - 1, m_slots.back().m_chunk->size()};
+        }
+        Chunk &chunk = own(position.m_slot);
+        chunk.emplace(chunk.begin() + static_cast<std::ptrdiff_t>(position.m_index), std::move(key), std::move(value));
+        if (chunk.size() > MaxChunk) {
+            return split(position);
+        }
+        return position;
+    }
+    const_iterator split(const_iterator position)
+    {
+        Chunk &chunk = *m_slots[position.m_slot].m_chunk;
+        const size_t half = chunk.size() / 2;
+        const auto middle = chunk.begin() + static_cast<std::ptrdiff_t>(half);
+        auto upper = std::make_shared<Chunk>(std::make_move_iterator(middle), std::make_move_iterator(chunk.end()));
+        chunk.erase(middle, chunk.end());
+        m_slots.insert(m_slots.begin() + static_cast<std::ptrdiff_t>(position.m_slot) + 1, Slot{std::move(upper), true});
+        if (position.m_index >= half) {
+            return {this, position.m_slot + 1, position.m_index - half};
+        }
+        return position;
+    }
+};
+
 //-----------------------------------------------------------------------------
 // [SECTION] JSON
 //-----------------------------------------------------------------------------
--- a/src/model.h
+++ b/src/model.h
@@ -171,9 +171,9 @@
 struct Configuration {
     int64_t m_revision = 0; ///< store revision up to which every change is included
     std::map<std::string, std::shared_ptr<const Template>> m_templates;
-    std::map<std::string, std::shared_ptr<const Organisation>> m_organisations;
+    SharedMap<std::shared_ptr<const Organisation>> m_organisations;
     std::map<std::string, std::shared_ptr<const Upstream>> m_upstreams;
-    std::map<std::string, std::string> m_organisationByKey; ///< SHA-256 of a key, hexadecimal -> organisation
+    SharedMap<std::string> m_organisationByKey; ///< SHA-256 of a key, hexadecimal -> organisation
 };
 
 /** Checks references between objects: pools, models, kinds, overrides, keys used twice. */
