Test the decisions of the request path

The tests found two faults, both fixed here: a request tried in spite of a stale service estimate was refused again before it started, and a limit between two whole numbers never grew.

The public interface gains AdmissionRequest::m_probe, set by enqueueRequest().

--- a/src/policy.h
+++ b/src/policy.h
@@ -97,6 +97,7 @@
     Duration m_remaining{}; ///< expected time of the stages after this one
     bool m_preemptible = false; ///< batch only: may be cancelled for urgent work and queued again
     bool m_resumable = false; ///< a preempted run continues where it stopped
+    bool m_probe = false; ///< set by enqueueRequest(): tried although its deadline looks unreachable
 
     bool operator==(const AdmissionRequest &) const = default;
 };
--- a/src/policy_admission.cpp
+++ b/src/policy_admission.cpp
@@ -128,7 +128,8 @@
     while (queue.m_size > 0) {
         const OrganisationQueue &organisation = queue.m_queues[queue.m_order.begin()->second];
         const AdmissionRequest &next = organisation.m_requests.front();
-        const bool startable = canMeetDeadline(admission, next, Duration{0}, now) || takeProbe(admission, next, now);
+        const bool probed = next.m_probe && next.m_deadline > now;
+        const bool startable = probed || canMeetDeadline(admission, next, Duration{0}, now) || takeProbe(admission, next, now);
         const AdmissionRequest request = popRequest(queue, startable);
         if (startable) {
             startRequest(admission, request, guaranteed, now, actions);
@@ -277,10 +278,12 @@
     // With one organisation in the queue the wait is known; with several, fair order may serve this one earlier.
     const bool alone = queue.m_queues.size() <= (own == queue.m_queues.end() ? 0U : 1U);
     const Duration wait = alone ? expectedWait(admission, request.m_class) : Duration{0};
-    if (!canMeetDeadline(admission, request, wait, now) && !takeProbe(admission, request, now)) {
+    AdmissionRequest queued = request;
+    queued.m_probe = !canMeetDeadline(admission, request, wait, now);
+    if (queued.m_probe && !takeProbe(admission, request, now)) {
         return Reason::DeadlineUnreachable;
     }
-    pushRequest(queue, request);
+    pushRequest(queue, queued);
     return Reason::None;
 }
 
--- a/src/policy_limits.cpp
+++ b/src/policy_limits.cpp
@@ -85,7 +85,8 @@
 
 void increase(AdaptiveLimit &limit, const LimitSettings &settings, uint32_t open)
 {
-    if (static_cast<double>(open) < FullUse * limit.m_limit) {
+    // Only whole requests can be open, so a limit of 2.5 is in full use at 2.
+    if (static_cast<double>(open) < FullUse * std::floor(limit.m_limit)) {
         return;
     }
     limit.m_limit = std::min(settings.m_maximum, limit.m_limit + settings.m_increase / std::max(1.0, limit.m_limit));
--- /dev/null
+++ b/tests/test_policy_failures.cpp
@@ -0,0 +1,407 @@
+#include <algorithm>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "policy.h"
+
+using namespace Medlarramp;
+
+namespace {
+
+const TimePoint Start{seconds(1000)};
+
+FailedAttempt makeFailure()
+{
+    FailedAttempt failed;
+    failed.m_verdict = {Outcome::Unknown, Reason::ConnectionLost};
+    failed.m_deadline = Start + seconds(7);
+    return failed;
+}
+
+AttemptBudget fullBudget()
+{
+    AttemptBudget budget;
+    budget.m_tokens = budget.m_maximum;
+    return budget;
+}
+
+DurationEstimate makeEstimate(Duration mean)
+{
+    DurationEstimate estimate;
+    for (int i = 0; i < 100; ++i) {
+        addSample(estimate, mean);
+    }
+    return estimate;
+}
+
+std::vector<uint64_t> contents(std::initializer_list<uint64_t> values)
+{
+    return values;
+}
+
+} // namespace
+
+class PolicyFailuresTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(PolicyFailuresTest);
+    CPPUNIT_TEST(sentRequestIsNeverCertainlyNotRun);
+    CPPUNIT_TEST(outageCostsLittle);
+    CPPUNIT_TEST(unusedBudgetIsBounded);
+    CPPUNIT_TEST(nonIdempotentIsNotRepeated);
+    CPPUNIT_TEST(deliveredAnswerIsNotRepeated);
+    CPPUNIT_TEST(noRetryPastTheDeadline);
+    CPPUNIT_TEST(backoffIsSpreadOut);
+    CPPUNIT_TEST(attemptLeavesTimeForAnother);
+    CPPUNIT_TEST(hedgeOnlyWhenSafe);
+    CPPUNIT_TEST(failedReplicaIsEjected);
+    CPPUNIT_TEST(stragglerIsEjected);
+    CPPUNIT_TEST(ejectionIsCapped);
+    CPPUNIT_TEST(ejectionsGrowLonger);
+    CPPUNIT_TEST(crashingContentIsRefused);
+    CPPUNIT_TEST(crashingContentIsFoundAmongOthers);
+    CPPUNIT_TEST(unrelatedRestartBlamesNobody);
+    CPPUNIT_TEST(sameUpstreamCountsOnce);
+    CPPUNIT_TEST(completedContentIsNoSuspect);
+    CPPUNIT_TEST(crashGuardIsBounded);
+    CPPUNIT_TEST(peerCannotRefuseForEver);
+    CPPUNIT_TEST(leavingReplicaGetsNothing);
+    CPPUNIT_TEST(laggingListDoesNotRevive);
+    CPPUNIT_TEST(refusedConnectionsStopWork);
+    CPPUNIT_TEST(olderConnectionsAreDistrusted);
+    CPPUNIT_TEST_SUITE_END();
+
+    // Guards against a false "not run": all combinations of evidence.
+    void sentRequestIsNeverCertainlyNotRun()
+    {
+        const Upstream upstream;
+        for (unsigned bits = 0; bits < 256; ++bits) {
+            for (const int status : {0, 200, 404, 429, 500, 503}) {
+                const AttemptEvidence evidence{(bits & 1) != 0,
+                                               (bits & 2) != 0,
+                                               status,
+                                               (bits & 4) != 0,
+                                               (bits & 8) != 0,
+                                               (bits & 16) != 0,
+                                               (bits & 32) != 0,
+                                               (bits & 64) != 0,
+                                               (bits & 128) != 0};
+                const AttemptVerdict verdict = classifyAttempt(evidence, upstream);
+                if (verdict.m_outcome == Outcome::NotRun) {
+                    CPPUNIT_ASSERT(!evidence.m_requestSent || status == 429);
+                    CPPUNIT_ASSERT(verdict.m_reason != Reason::None);
+                }
+            }
+        }
+    }
+
+    // Guards against a retry storm: at most 1.1 attempts for each request while everything fails.
+    void outageCostsLittle()
+    {
+        AttemptBudget budget;
+        Random random{1};
+        size_t attempts = 0;
+        constexpr size_t Requests = 1000;
+        for (size_t i = 0; i < Requests; ++i) {
+            countFirstAttempt(budget);
+            FailedAttempt failed = makeFailure();
+            attempts += 1;
+            while (decideRetry(budget, {}, failed, Start, random).m_retry) {
+                attempts += 1;
+                failed.m_attempt += 1;
+            }
+        }
+        CPPUNIT_ASSERT(attempts > Requests);
+        CPPUNIT_ASSERT(static_cast<double>(attempts) / Requests <= 1.1);
+    }
+
+    // Guards against a quiet day that pays for a storm later.
+    void unusedBudgetIsBounded()
+    {
+        AttemptBudget budget;
+        for (int i = 0; i < 100'000; ++i) {
+            countFirstAttempt(budget);
+        }
+        size_t extra = 0;
+        while (takeExtraAttempt(budget)) {
+            extra += 1;
+        }
+        CPPUNIT_ASSERT_EQUAL(size_t(10), extra);
+    }
+
+    // Guards against a second charge after an attempt that may have run.
+    void nonIdempotentIsNotRepeated()
+    {
+        Random random{1};
+        AttemptBudget budget = fullBudget();
+        FailedAttempt failed = makeFailure();
+        failed.m_idempotent = false;
+        const RetryDecision refused = decideRetry(budget, {}, failed, Start, random);
+        CPPUNIT_ASSERT(!refused.m_retry && refused.m_reason == Reason::ConnectionLost);
+        failed.m_verdict = {Outcome::NotRun, Reason::ConnectFailed};
+        CPPUNIT_ASSERT(decideRetry(budget, {}, failed, Start, random).m_retry);
+        failed.m_verdict = {Outcome::Unknown, Reason::ConnectionLost};
+        failed.m_refusesRepeats = true;
+        CPPUNIT_ASSERT(decideRetry(budget, {}, failed, Start, random).m_retry);
+    }
+
+    // Guards against a stream that begins again after part of it was delivered.
+    void deliveredAnswerIsNotRepeated()
+    {
+        Random random{1};
+        AttemptBudget budget = fullBudget();
+        FailedAttempt failed = makeFailure();
+        failed.m_delivered = true;
+        CPPUNIT_ASSERT(!decideRetry(budget, {}, failed, Start, random).m_retry);
+    }
+
+    // Guards against attempts whose answer would come too late, and against budget spent on them.
+    void noRetryPastTheDeadline()
+    {
+        Random random{1};
+        AttemptBudget budget = fullBudget();
+        FailedAttempt failed = makeFailure();
+        failed.m_deadline = Start + milliseconds(10);
+        CPPUNIT_ASSERT(decideRetry(budget, {}, failed, Start, random).m_reason == Reason::DeadlineExceeded);
+        CPPUNIT_ASSERT_EQUAL(budget.m_maximum, budget.m_tokens);
+    }
+
+    // Guards against retries of many callers that arrive together.
+    void backoffIsSpreadOut()
+    {
+        Random random{1};
+        const RetrySettings settings;
+        Duration least = seconds(100);
+        Duration most{0};
+        for (int i = 0; i < 1000; ++i) {
+            AttemptBudget budget = fullBudget();
+            FailedAttempt failed = makeFailure();
+            failed.m_attempt = 3;
+            failed.m_maxAttempts = 9;
+            const Duration delay = decideRetry(budget, settings, failed, Start, random).m_delay;
+            least = std::min(least, delay);
+            most = std::max(most, delay);
+        }
+        const Duration limit = backoffLimit(settings, 3);
+        CPPUNIT_ASSERT(limit == milliseconds(160));
+        CPPUNIT_ASSERT(least < limit / 20 && most > limit * 19 / 20 && most <= limit);
+        CPPUNIT_ASSERT(backoffLimit(settings, 1000) == settings.m_maxDelay);
+    }
+
+    // Guards against a first attempt that uses up the whole deadline on a silent upstream.
+    void attemptLeavesTimeForAnother()
+    {
+        const DurationEstimate estimate = makeEstimate(milliseconds(50));
+        CPPUNIT_ASSERT(attemptTimeout(seconds(8), 0.5, estimate, 2) <= seconds(1));
+        CPPUNIT_ASSERT(attemptTimeout(seconds(8), 0.5, estimate, 0) == seconds(4));
+        CPPUNIT_ASSERT(attemptTimeout(seconds(8), 0.5, {}, 2) == seconds(4));
+        CPPUNIT_ASSERT(attemptTimeout(-seconds(1), 0.5, estimate, 2) == Duration{0});
+    }
+
+    // Guards against a hedge of a stage that must run once, without a basis, or without a budget.
+    void hedgeOnlyWhenSafe()
+    {
+        const HedgeSettings settings;
+        const DurationEstimate estimate = makeEstimate(milliseconds(50));
+        AttemptBudget budget;
+        CPPUNIT_ASSERT(!decideHedge(budget, estimate, false, seconds(1), seconds(5), settings));
+        CPPUNIT_ASSERT(!decideHedge(budget, {}, true, seconds(1), seconds(5), settings));
+        CPPUNIT_ASSERT(!decideHedge(budget, estimate, true, milliseconds(49), seconds(5), settings));
+        CPPUNIT_ASSERT(decideHedge(budget, estimate, true, seconds(1), seconds(5), settings));
+        CPPUNIT_ASSERT(!decideHedge(budget, estimate, true, seconds(1), seconds(5), settings));
+    }
+
+    // Guards against work that keeps going to a dead replica.
+    void failedReplicaIsEjected()
+    {
+        std::vector<ReplicaHealth> pool(9);
+        const OutlierSettings settings;
+        CPPUNIT_ASSERT(!observeHealth(pool, 4, {true, {}}, settings, Start));
+        CPPUNIT_ASSERT(!observeHealth(pool, 4, {true, {}}, settings, Start));
+        CPPUNIT_ASSERT(observeHealth(pool, 4, {true, {}}, settings, Start));
+        CPPUNIT_ASSERT(isEjected(pool[4], Start + milliseconds(4999)));
+        CPPUNIT_ASSERT(!isEjected(pool[4], Start + seconds(5)));
+    }
+
+    // Guards against a slow replica that holds up its share of all requests.
+    void stragglerIsEjected()
+    {
+        std::vector<ReplicaHealth> pool(9);
+        const OutlierSettings settings;
+        bool ejected = false;
+        for (int round = 0; round < 10; ++round) {
+            for (size_t i = 0; i < pool.size(); ++i) {
+                const bool now = observeHealth(pool, i, {false, milliseconds(i == 3 ? 1000 : 100)}, settings, Start + seconds(round));
+                CPPUNIT_ASSERT(!now || i == 3);
+                ejected = ejected || now;
+            }
+        }
+        CPPUNIT_ASSERT(ejected);
+    }
+
+    // Guards against a pool that is ejected as a whole by a common cause (20 seeds).
+    void ejectionIsCapped()
+    {
+        const OutlierSettings settings;
+        for (uint64_t seed = 1; seed <= 20; ++seed) {
+            Random random{seed};
+            std::vector<ReplicaHealth> pool(1 + uniformBelow(random, 20));
+            const auto cap = static_cast<std::ptrdiff_t>(0.34 * static_cast<double>(pool.size()));
+            TimePoint at = Start;
+            for (int i = 0; i < 2000; ++i) {
+                at += milliseconds(10);
+                observeHealth(pool, uniformBelow(random, pool.size()), {true, milliseconds(5)}, settings, at);
+                const auto count =
+                    std::count_if(pool.begin(), pool.end(), [at](const ReplicaHealth &health) { return isEjected(health, at); });
+                CPPUNIT_ASSERT(count <= cap);
+            }
+        }
+    }
+
+    // Guards against a dead replica that is tried again every few seconds for ever.
+    void ejectionsGrowLonger()
+    {
+        std::vector<ReplicaHealth> pool(9);
+        const OutlierSettings settings;
+        TimePoint at = Start;
+        Duration longest{0};
+        for (int round = 0; round < 10; ++round) {
+            while (!observeHealth(pool, 0, {true, {}}, settings, at)) {}
+            const Duration time = pool[0].m_ejectedUntil - at;
+            CPPUNIT_ASSERT(time >= longest && time <= settings.m_maxEjection);
+            longest = time;
+            at = pool[0].m_ejectedUntil;
+        }
+        CPPUNIT_ASSERT(longest == settings.m_maxEjection);
+    }
+
+    // Guards against a request that takes down one upstream after another.
+    void crashingContentIsRefused()
+    {
+        CrashGuard guard;
+        CPPUNIT_ASSERT(observeLoss(guard, 1, contents({42}), 1, Start).empty());
+        const std::vector<CrashBlame> blames = observeLoss(guard, 2, contents({42}), 1, Start + seconds(1));
+        CPPUNIT_ASSERT_EQUAL(size_t(1), blames.size());
+        CPPUNIT_ASSERT(isContentRefused(guard, 42, Start + seconds(2)));
+        CPPUNIT_ASSERT(!isContentRefused(guard, 42, blames[0].m_until));
+        CPPUNIT_ASSERT(!isContentRefused(guard, 43, Start + seconds(2)));
+    }
+
+    // Guards against a crashing request that hides among the others on a busy upstream.
+    void crashingContentIsFoundAmongOthers()
+    {
+        CrashGuard guard;
+        observeLoss(guard, 1, contents({42, 1, 2, 3}), 4, Start);
+        const auto blames = observeLoss(guard, 2, contents({42, 4, 5, 6, 7}), 5, Start + seconds(1));
+        CPPUNIT_ASSERT_EQUAL(size_t(1), blames.size());
+        CPPUNIT_ASSERT_EQUAL(uint64_t(42), blames[0].m_content);
+    }
+
+    // Guards against innocent requests that are refused after restarts: lost together twice, or lost only in part.
+    void unrelatedRestartBlamesNobody()
+    {
+        CrashGuard guard;
+        observeLoss(guard, 1, contents({1, 2, 3}), 3, Start);
+        CPPUNIT_ASSERT(observeLoss(guard, 2, contents({1, 2, 3}), 3, Start).empty());
+        CrashGuard partial;
+        observeLoss(partial, 1, contents({1}), 2, Start);
+        CPPUNIT_ASSERT(observeLoss(partial, 2, contents({1}), 2, Start).empty());
+        CrashGuard apart;
+        observeLoss(apart, 1, contents({1}), 1, Start);
+        CPPUNIT_ASSERT(observeLoss(apart, 2, contents({1}), 1, Start + apart.m_settings.m_window + seconds(1)).empty());
+    }
+
+    // Guards against one flapping upstream that gets a content refused everywhere.
+    void sameUpstreamCountsOnce()
+    {
+        CrashGuard guard;
+        for (int i = 0; i < 10; ++i) {
+            CPPUNIT_ASSERT(observeLoss(guard, 1, contents({42}), 1, Start + seconds(i)).empty());
+        }
+    }
+
+    // Guards against the refusal of a popular content that happened to run during two crashes.
+    void completedContentIsNoSuspect()
+    {
+        CrashGuard guard;
+        observeLoss(guard, 1, contents({42}), 1, Start);
+        observeCompletion(guard, 42);
+        CPPUNIT_ASSERT(observeLoss(guard, 2, contents({42}), 1, Start).empty());
+    }
+
+    // Guards against state that grows with the number of crashes and verdicts.
+    void crashGuardIsBounded()
+    {
+        CrashGuard guard;
+        for (uint64_t i = 0; i < 1000; ++i) {
+            observeLoss(guard, i, contents({i, i + 1}), 2, Start);
+            CPPUNIT_ASSERT(guard.m_records.size() <= MaxCrashRecords);
+        }
+        for (uint64_t i = 0; i < MaxCrashVerdicts + 100; ++i) {
+            applyBlame(guard, {i, Start + seconds(60)}, Start);
+        }
+        CPPUNIT_ASSERT(guard.m_refusedUntil.size() <= MaxCrashVerdicts);
+    }
+
+    // Guards against a peer's wrong clock that refuses a content for days.
+    void peerCannotRefuseForEver()
+    {
+        CrashGuard guard;
+        applyBlame(guard, {42, Start + std::chrono::hours(1000)}, Start);
+        CPPUNIT_ASSERT(isContentRefused(guard, 42, Start + seconds(1)));
+        CPPUNIT_ASSERT(!isContentRefused(guard, 42, Start + guard.m_settings.m_refusal));
+    }
+
+    // Guards against new work on a replica that leaves, whoever says so.
+    void leavingReplicaGetsNothing()
+    {
+        for (const ReplicaEvent event : {ReplicaEvent::ListedLeaving, ReplicaEvent::Unlisted, ReplicaEvent::SaidLeaving}) {
+            ReplicaPresence presence;
+            CPPUNIT_ASSERT(acceptsNewWork(presence, Start));
+            CPPUNIT_ASSERT(observeReplica(presence, event, Start));
+            CPPUNIT_ASSERT(!acceptsNewWork(presence, Start));
+            observeReplica(presence, ReplicaEvent::Answered, Start + seconds(1));
+            CPPUNIT_ASSERT(!acceptsNewWork(presence, Start + seconds(1)));
+        }
+    }
+
+    // Guards against an old VM list that overrules the replica's own answer, and against a replica that never returns.
+    void laggingListDoesNotRevive()
+    {
+        ReplicaPresence presence;
+        observeReplica(presence, ReplicaEvent::SaidLeaving, Start);
+        CPPUNIT_ASSERT(!observeReplica(presence, ReplicaEvent::ListedLive, Start + seconds(10)));
+        CPPUNIT_ASSERT(!acceptsNewWork(presence, Start + seconds(10)));
+        observeReplica(presence, ReplicaEvent::ListedLeaving, Start + seconds(20));
+        CPPUNIT_ASSERT(observeReplica(presence, ReplicaEvent::ListedLive, Start + seconds(30)));
+        CPPUNIT_ASSERT(acceptsNewWork(presence, Start + seconds(30)));
+        observeReplica(presence, ReplicaEvent::SaidLeaving, Start + seconds(40));
+        CPPUNIT_ASSERT(observeReplica(presence, ReplicaEvent::ListedLive, Start + seconds(101)));
+    }
+
+    // Guards against connections tried again and again where nobody listens, and against giving up for ever.
+    void refusedConnectionsStopWork()
+    {
+        ReplicaPresence presence;
+        CPPUNIT_ASSERT(!observeReplica(presence, ReplicaEvent::RefusedConnection, Start));
+        CPPUNIT_ASSERT(!observeReplica(presence, ReplicaEvent::RefusedConnection, Start));
+        CPPUNIT_ASSERT(observeReplica(presence, ReplicaEvent::RefusedConnection, Start));
+        CPPUNIT_ASSERT(!acceptsNewWork(presence, Start + seconds(1)));
+        CPPUNIT_ASSERT(acceptsNewWork(presence, Start + seconds(2)));
+        CPPUNIT_ASSERT(observeReplica(presence, ReplicaEvent::RefusedConnection, Start + seconds(2)));
+        CPPUNIT_ASSERT(observeReplica(presence, ReplicaEvent::Answered, Start + seconds(3)));
+        CPPUNIT_ASSERT(acceptsNewWork(presence, Start + seconds(3)));
+    }
+
+    // Guards against one silent connection after another being found by waiting for each.
+    void olderConnectionsAreDistrusted()
+    {
+        ConnectionTrust trust;
+        CPPUNIT_ASSERT(isTrusted(trust, Start, Start, Start));
+        observeSilence(trust, Start + seconds(5));
+        CPPUNIT_ASSERT(!isTrusted(trust, Start, Start + seconds(6), Start + seconds(6)));
+        CPPUNIT_ASSERT(isTrusted(trust, Start + seconds(6), Start + seconds(6), Start + seconds(6)));
+        CPPUNIT_ASSERT(!isTrusted(trust, Start + seconds(6), Start + seconds(6), Start + seconds(6) + MaxConnectionIdle + seconds(1)));
+    }
+};
+
+CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(PolicyFailuresTest, "policy_failures");
--- /dev/null
+++ b/tests/test_policy_limits.cpp
@@ -0,0 +1,198 @@
+#include <algorithm>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "policy.h"
+
+using namespace Medlarramp;
+
+namespace {
+
+const TimePoint Start{seconds(1000)};
+
+Organisation makeOrganisation(double rate, int64_t burst, int64_t concurrent)
+{
+    Organisation organisation;
+    organisation.m_name = "north";
+    organisation.m_requestsPerSecond = rate;
+    organisation.m_burst = burst;
+    organisation.m_maxConcurrent = concurrent;
+    return organisation;
+}
+
+LimitSample success(Duration latency, uint32_t open)
+{
+    return {LimitSignal::Success, latency, open};
+}
+
+} // namespace
+
+class PolicyLimitsTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(PolicyLimitsTest);
+    CPPUNIT_TEST(rateIsKept);
+    CPPUNIT_TEST(retryAfterIsEnough);
+    CPPUNIT_TEST(concurrencyIsKept);
+    CPPUNIT_TEST(trackedOrganisationsAreBounded);
+    CPPUNIT_TEST(clockStepBackGivesNothing);
+    CPPUNIT_TEST(limitFollowsCapacity);
+    CPPUNIT_TEST(unusedLimitDoesNotGrow);
+    CPPUNIT_TEST(oneCongestionCountsOnce);
+    CPPUNIT_TEST(limitBelowOneSpacesRequests);
+    CPPUNIT_TEST(limitStaysInBounds);
+    CPPUNIT_TEST(newBaselineIsLearnt);
+    CPPUNIT_TEST_SUITE_END();
+
+    // Guards against an organisation that exceeds its rate over time.
+    void rateIsKept()
+    {
+        OrganisationLimits limits;
+        const Organisation organisation = makeOrganisation(10, 5, 0);
+        size_t accepted = 0;
+        for (int i = 0; i < 10'000; ++i) {
+            const TimePoint at = Start + milliseconds(i);
+            if (beginOrganisationRequest(limits, organisation, 1, at).m_reason == Reason::None) {
+                accepted += 1;
+                endOrganisationRequest(limits, organisation);
+            }
+        }
+        CPPUNIT_ASSERT(accepted >= 103 && accepted <= 105);
+    }
+
+    // Guards against a hint that sends the caller back too early.
+    void retryAfterIsEnough()
+    {
+        OrganisationLimits limits;
+        const Organisation organisation = makeOrganisation(2, 1, 0);
+        CPPUNIT_ASSERT(beginOrganisationRequest(limits, organisation, 0.5, Start).m_reason == Reason::None);
+        const RateDecision refused = beginOrganisationRequest(limits, organisation, 0.5, Start);
+        CPPUNIT_ASSERT(refused.m_reason == Reason::RateLimited);
+        CPPUNIT_ASSERT(refused.m_retryAfter == seconds(1));
+        CPPUNIT_ASSERT(beginOrganisationRequest(limits, organisation, 0.5, Start + refused.m_retryAfter).m_reason == Reason::None);
+    }
+
+    // Guards against places that are never given back, and against more open requests than allowed.
+    void concurrencyIsKept()
+    {
+        OrganisationLimits limits;
+        const Organisation organisation = makeOrganisation(0, 1, 2);
+        CPPUNIT_ASSERT(beginOrganisationRequest(limits, organisation, 1, Start).m_reason == Reason::None);
+        CPPUNIT_ASSERT(beginOrganisationRequest(limits, organisation, 1, Start).m_reason == Reason::None);
+        CPPUNIT_ASSERT(beginOrganisationRequest(limits, organisation, 1, Start).m_reason == Reason::ConcurrencyLimited);
+        endOrganisationRequest(limits, organisation);
+        CPPUNIT_ASSERT(beginOrganisationRequest(limits, organisation, 1, Start).m_reason == Reason::None);
+    }
+
+    // Guards against state that grows with the number of names ever seen, and against losing open requests.
+    void trackedOrganisationsAreBounded()
+    {
+        OrganisationLimits limits;
+        Organisation held = makeOrganisation(1, 1, 1);
+        held.m_name = "held";
+        beginOrganisationRequest(limits, held, 1, Start);
+        for (size_t i = 0; i < MaxTrackedOrganisations + 3; ++i) {
+            limits.m_uses.size() < MaxTrackedOrganisations ? void(limits.m_uses[i]) : void();
+        }
+        Organisation other = makeOrganisation(1, 1, 1);
+        beginOrganisationRequest(limits, other, 1, Start + seconds(1));
+        CPPUNIT_ASSERT(limits.m_uses.size() <= MaxTrackedOrganisations);
+        CPPUNIT_ASSERT(beginOrganisationRequest(limits, held, 1, Start + seconds(9)).m_reason == Reason::ConcurrencyLimited);
+    }
+
+    // Guards against tokens earned twice when threads report times out of order.
+    void clockStepBackGivesNothing()
+    {
+        OrganisationLimits limits;
+        const Organisation organisation = makeOrganisation(1, 1, 0);
+        CPPUNIT_ASSERT(beginOrganisationRequest(limits, organisation, 1, Start).m_reason == Reason::None);
+        CPPUNIT_ASSERT(beginOrganisationRequest(limits, organisation, 1, Start - seconds(5)).m_reason == Reason::RateLimited);
+        CPPUNIT_ASSERT(beginOrganisationRequest(limits, organisation, 1, Start).m_reason == Reason::RateLimited);
+    }
+
+    // Guards against a limit that stays far above or below what the upstream serves at full speed.
+    void limitFollowsCapacity()
+    {
+        const LimitSettings settings;
+        AdaptiveLimit limit = makeAdaptiveLimit(settings);
+        TimePoint at = Start;
+        constexpr double Capacity = 40;
+        for (int i = 0; i < 20'000; ++i) {
+            const double open = std::floor(std::max(1.0, limit.m_limit));
+            const double latency = 100 * std::max(1.0, open / Capacity);
+            at += Duration(static_cast<int64_t>(1000 * latency / open));
+            observeSample(limit, settings, success(Duration(static_cast<int64_t>(1000 * latency)), static_cast<uint32_t>(open)), at);
+        }
+        CPPUNIT_ASSERT(limit.m_limit > Capacity && limit.m_limit < 2.2 * Capacity);
+    }
+
+    // Guards against a limit that grows while idle and floods the upstream at the next burst.
+    void unusedLimitDoesNotGrow()
+    {
+        const LimitSettings settings;
+        AdaptiveLimit limit = makeAdaptiveLimit(settings);
+        for (int i = 0; i < 1000; ++i) {
+            observeSample(limit, settings, success(milliseconds(10), 1), Start + milliseconds(i * 10));
+        }
+        CPPUNIT_ASSERT_EQUAL(settings.m_initial, limit.m_limit);
+    }
+
+    // Guards against one burst of rejections that closes the limit altogether.
+    void oneCongestionCountsOnce()
+    {
+        const LimitSettings settings;
+        AdaptiveLimit limit = makeAdaptiveLimit(settings);
+        for (int i = 0; i < 16; ++i) {
+            observeSample(limit, settings, {LimitSignal::Rejected, milliseconds(1), 16}, Start);
+        }
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(settings.m_initial * settings.m_rejectedDecrease, limit.m_limit, 1e-9);
+    }
+
+    // Guards against many entries that each keep one request open on an upstream with fewer places.
+    void limitBelowOneSpacesRequests()
+    {
+        AdaptiveLimit limit;
+        limit.m_limit = 0.25;
+        limit.m_recent = 0.1;
+        CPPUNIT_ASSERT(hasRoom(limit, 0, Start));
+        countOpened(limit, Start);
+        CPPUNIT_ASSERT(!hasRoom(limit, 0, Start + milliseconds(399)));
+        CPPUNIT_ASSERT(hasRoom(limit, 0, Start + milliseconds(400)));
+        CPPUNIT_ASSERT(!hasRoom(limit, 1, Start + milliseconds(400)));
+    }
+
+    // Guards against limits outside their bounds under arbitrary signals (20 seeds).
+    void limitStaysInBounds()
+    {
+        for (uint64_t seed = 1; seed <= 20; ++seed) {
+            Random random{seed};
+            const LimitSettings settings;
+            AdaptiveLimit limit = makeAdaptiveLimit(settings);
+            TimePoint at = Start;
+            for (int i = 0; i < 5000; ++i) {
+                at += Duration(static_cast<int64_t>(uniformBelow(random, 20'000)));
+                const auto signal = static_cast<LimitSignal>(uniformBelow(random, 4));
+                const auto latency = Duration(static_cast<int64_t>(uniformBelow(random, 5'000'000)));
+                observeSample(limit, settings, {signal, latency, static_cast<uint32_t>(uniformBelow(random, 600))}, at);
+                CPPUNIT_ASSERT(limit.m_limit >= settings.m_minimum && limit.m_limit <= settings.m_maximum);
+            }
+        }
+    }
+
+    // Guards against a limit that stays closed after the upstream became slower for good, such as by a larger model.
+    void newBaselineIsLearnt()
+    {
+        const LimitSettings settings;
+        AdaptiveLimit limit = makeAdaptiveLimit(settings);
+        TimePoint at = Start;
+        for (int i = 0; i < 100; ++i) {
+            observeSample(limit, settings, success(milliseconds(10), 16), at += milliseconds(10));
+        }
+        for (int i = 0; i < 1500; ++i) {
+            const auto open = static_cast<uint32_t>(std::max(1.0, limit.m_limit));
+            observeSample(limit, settings, success(milliseconds(200), open), at += milliseconds(200));
+        }
+        CPPUNIT_ASSERT(limit.m_limit > 4);
+    }
+};
+
+CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(PolicyLimitsTest, "policy_limits");
