Run both example deployments on stand-ins

The shared map inserted at the place of a moved-from key, so find() missed entries; a test guards against it.

--- a/src/main.cpp
+++ b/src/main.cpp
@@ -9,6 +9,7 @@
 #include <fmt/format.h>
 
 #include "entry.h"
+#include "main_demo.h"
 
 using namespace Medlarramp;
 
@@ -137,6 +138,7 @@
     app.add_subcommand("version", "Print the version.")->callback([] { fmt::print("medlarramp {}\n", MEDLARRAMP_VERSION); });
     addServeCommand(app, exitCode);
     addCheckCommand(app, exitCode);
+    addDemoCommand(app, exitCode);
     try {
         app.parse(argc, argv);
     } catch (const CLI::ParseError &error) {
--- a/src/model.cpp
+++ b/src/model.cpp
@@ -579,18 +579,19 @@
 constexpr size_t MaxBundleObjects = 100'000; ///< of one kind
 
 /** Adds the objects of one array to a map by name. */
-template<typename Object, typename Parse>
-void readObjects(ObjectReader &reader, const char *name, std::map<std::string, std::shared_ptr<const Object>> &objects, const Parse &parse)
+template<typename Objects, typename Parse>
+void readObjects(ObjectReader &reader, const char *name, Objects &objects, const Parse &parse)
 {
     readArray(reader, name, false, MaxBundleObjects, [&](const nlohmann::json &element, const std::string &place) {
-        std::optional<Object> object = parse(element, reader.m_file, *reader.m_findings, place);
+        const auto object = parse(element, reader.m_file, *reader.m_findings, place);
         if (!object) {
             return;
         }
-        const std::string key = object->m_name;
-        if (!objects.emplace(key, std::make_shared<const Object>(std::move(*object))).second) {
+        if (objects.contains(object->m_name)) {
             reader.m_findings->push_back({reader.m_file, place + "/name", "is used twice"});
+            return;
         }
+        objects[object->m_name] = std::make_shared<const std::decay_t<decltype(*object)>>(*object);
     });
 }
 
@@ -607,7 +608,7 @@
     finishObject(reader);
     for (const auto &[name, organisation] : configuration.m_organisations) {
         for (const std::string &digest : organisation->m_keyDigests) {
-            configuration.m_organisationByKey.emplace(digest, name);
+            configuration.m_organisationByKey[digest] = name;
         }
     }
     if (findings.size() == before) {
--- a/tests/test_core.cpp
+++ b/tests/test_core.cpp
@@ -1,3 +1,5 @@
+#include <map>
+
 #include <cppunit/extensions/HelperMacros.h>
 
 #include "core.h"
@@ -14,6 +16,7 @@
     CPPUNIT_TEST(unknownMemberIsAFinding);
     CPPUNIT_TEST(base64SurvivesBinaryData);
     CPPUNIT_TEST(snapshotSurvivesPublication);
+    CPPUNIT_TEST(sharedMapKeepsKeyOrder);
     CPPUNIT_TEST_SUITE_END();
 
     // Guards against code that reads the system clock behind a paused clock.
@@ -92,6 +95,26 @@
         CPPUNIT_ASSERT_EQUAL(1, *first);
         CPPUNIT_ASSERT_EQUAL(2, *snapshot(pointer));
     }
+
+    // Guards against entries that find() misses because an insertion looked up a key that had been moved from.
+    void sharedMapKeepsKeyOrder()
+    {
+        SharedMap<int> map;
+        Random random{7};
+        std::map<std::string, int> expected;
+        for (int i = 0; i < 1'000; ++i) {
+            const std::string key = std::to_string(uniformBelow(random, 500));
+            map[key] = i;
+            expected[key] = i;
+        }
+        CPPUNIT_ASSERT_EQUAL(expected.size(), map.size());
+        auto position = map.begin();
+        for (const auto &[key, value] : expected) {
+            CPPUNIT_ASSERT_EQUAL(key, position->first);
+            CPPUNIT_ASSERT_EQUAL(value, map.at(key));
+            ++position;
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(CoreTest, "core");
