--- a/src/standins.h
+++ b/src/standins.h
@@ -55,6 +55,8 @@
     uint64_t m_cancelled = 0; ///< runs ended because the caller disconnected
     uint64_t m_refused = 0;
     uint64_t m_crashes = 0;
+    uint64_t m_cachedBlocks = 0; ///< engine: blocks of prompts found in the prefix cache
+    uint64_t m_uncachedBlocks = 0; ///< engine: blocks of prompts computed
     std::map<std::string, uint64_t> m_runsByRequest; ///< X-Request-Id "/" X-Request-Stage -> runs begun
     std::map<std::string, uint64_t> m_runsByKey; ///< Idempotency-Key -> runs begun
 
@@ -121,6 +123,8 @@
 /** The text that an engine generates after @p prompt. */
 std::string generatedText(std::string prompt, int64_t tokens);
 std::vector<std::string> loadedModels(ModelEngineStandin &engine);
+/** Requests that wait for one of the m_maxRunning places. */
+size_t waitingRequests(ModelEngineStandin &engine);
 
 //-----------------------------------------------------------------------------
 // [SECTION] Stage pool
--- a/src/standins_engine.cpp
+++ b/src/standins_engine.cpp
@@ -61,6 +61,13 @@
     return missing;
 }
 
+void addBlocks(StandinServer &server, size_t blocks, size_t missing)
+{
+    const std::lock_guard lock(server.m_mutex);
+    server.m_counts.m_cachedBlocks += blocks - missing;
+    server.m_counts.m_uncachedBlocks += missing;
+}
+
 struct Generation {
     std::string m_model;
     std::string m_prompt;
@@ -128,6 +135,7 @@
         return false;
     }
     const auto missing = static_cast<int64_t>(fillCache(engine, generation.m_salt, generation.m_prompt));
+    addBlocks(server, generation.m_prompt.size() / PrefixBlockBytes, missing);
     if (!pauseRequest(slowed(engine.m_prefillPerBlock * missing, faults(server).m_slowdown))) {
         addCancelled(server);
         dropConnection();
@@ -290,6 +298,11 @@
     return generated;
 }
 
+size_t waitingRequests(ModelEngineStandin &engine)
+{
+    return slotLoad(engine.m_state->m_slots).second;
+}
+
 std::vector<std::string> loadedModels(ModelEngineStandin &engine)
 {
     const std::lock_guard lock(engine.m_state->m_mutex);
--- a/src/upstream.cpp
+++ b/src/upstream.cpp
@@ -24,6 +24,7 @@
     std::string m_body;
     TimePoint m_start;
     bool m_hasLength = false; ///< the end of the answer is marked
+    bool m_received = false; ///< at least one byte of the answer
     bool m_tooLarge = false;
     bool m_refusedBySink = false;
 };
@@ -40,6 +41,7 @@
 
 void noteByte(Exchange &exchange)
 {
+    exchange.m_received = true;
     exchange.m_watched.m_lastByte = now(exchange.m_clock);
 }
 
@@ -208,22 +210,28 @@
     result.m_tokens = std::max(result.m_tokens, exchange.m_reader.m_reportedTokens);
 }
 
-void judgeConnections(const Exchange &exchange)
+/** Drops older connections to the same address when this one is found silent. */
+void judgeConnections(Exchange &exchange)
 {
     const Interruption interruption = exchange.m_watched.m_interruption;
     ConnectionObservation observation;
     observation.m_reused = exchange.m_result.m_evidence.m_reusedConnection;
-    observation.m_received = exchange.m_watched.m_lastByte.load() > exchange.m_start;
     observation.m_interrupted = interruption == Interruption::Deadline || interruption == Interruption::Silence;
     observation.m_sentAt = exchange.m_start;
+    if (exchange.m_received) {
+        observation.m_lastByteAt = exchange.m_watched.m_lastByte.load();
+    }
     observation.m_endedAt = now(exchange.m_clock);
-    if (const auto before = distrustBefore(observation, exchange.m_state.m_settings.m_silenceLimit)) {
-        distrustConnections(exchange.m_state, exchange.m_request.m_address, *before);
-        writeLog(LogLevel::Warning,
-                 "upstream",
-                 "Pooled connection is silent, older connections are dropped.",
-                 {{"address", toString(exchange.m_request.m_address)}});
+    const std::optional<TimePoint> before = distrustBefore(observation, exchange.m_state.m_settings.m_silenceLimit);
+    if (!before || exchange.m_result.m_evidence.m_complete) {
+        return;
     }
+    exchange.m_result.m_evidence.m_silent = true;
+    distrustConnections(exchange.m_state, exchange.m_request.m_address, *before);
+    writeLog(LogLevel::Warning,
+             "upstream",
+             "Connection is silent, older pooled connections are dropped.",
+             {{"address", toString(exchange.m_request.m_address)}});
 }
 
 void runOnConnection(Exchange &exchange, std::unique_ptr<Connection> connection, const CancelToken &token, WireRequest wire)
@@ -242,7 +250,8 @@
     unwatch(exchange.m_state, watched);
     finish(exchange, ended);
     judgeConnections(exchange);
-    releaseConnection(exchange.m_state, exchange.m_request.m_address, std::move(connection), now(exchange.m_clock));
+    const bool reused = exchange.m_result.m_evidence.m_reusedConnection;
+    releaseConnection(exchange.m_state, exchange.m_request.m_address, std::move(connection), reused, now(exchange.m_clock));
 }
 
 /** Records why an attempt ended before a connection was sought. @return whether it did. */
--- a/src/upstream.h
+++ b/src/upstream.h
@@ -107,7 +107,8 @@
     uint64_t m_opened = 0; ///< sockets created
     uint64_t m_reused = 0; ///< attempts on a pooled connection
     uint64_t m_expired = 0; ///< closed for their idle age
-    uint64_t m_distrusted = 0; ///< closed because another connection to the same address was silent
+    uint64_t m_stale = 0; ///< found closed by the peer, or with bytes that nobody asked for
+    uint64_t m_distrusted = 0; ///< closed because a connection to the same address was silent
     uint64_t m_refused = 0; ///< attempts above m_maxOpenPerAddress
 
     bool operator==(const ConnectionCounts &) const = default;
@@ -133,18 +134,19 @@
 /** What an attempt saw of its connection. */
 struct ConnectionObservation {
     bool m_reused = false; ///< the connection came from the pool
-    bool m_received = false; ///< at least one byte of the answer arrived
     bool m_interrupted = false; ///< ended by a time limit of this entry, not by the caller or the upstream
     TimePoint m_sentAt; ///< when the request was sent
+    std::optional<TimePoint> m_lastByteAt; ///< last byte of the answer; nothing: none arrived
     TimePoint m_endedAt;
 
     bool operator==(const ConnectionObservation &) const = default;
 };
 
 /**
- * Decides whether a silence discredits the pooled connections to the same address.
- * @return the begin of the silence: connections opened before it are dropped. Nothing when the end has another
- * explanation: a fresh connection that is silent speaks for a slow upstream.
+ * Decides whether a silence discredits the pooled connections to the same address. It does when the connection had
+ * carried bytes before, in an earlier answer or in this one. A connection that was silent from its start speaks for a
+ * slow upstream.
+ * @return the begin of the silence: connections opened before it are dropped.
  */
 std::optional<TimePoint> distrustBefore(const ConnectionObservation &observation, Duration silenceLimit);
 
@@ -155,10 +157,11 @@
  * Calls replicas over HTTP/1.1. Each attempt is sent at most once.
  *
  * An attempt blocks its thread and ends at its deadline, when the token is set, or at a progress limit; interruption
- * takes at most InterruptionPeriod longer. Headers sent: X-Request-Id, X-Request-Stage, X-Request-Attempt,
- * X-Request-Timeout-Ms (time left), Idempotency-Key, Endpoint-Load-Metrics-Format. Headers read: Retry-After,
- * Endpoint-Load-Metrics (Open Request Cost Aggregation, num_requests_running and num_requests_waiting) and
- * X-Upstream-State, where "leaving" asks for no new work.
+ * takes at most InterruptionPeriod longer. An attempt that is not a stream has no progress limit but its deadline; its
+ * evidence says both m_timedOut and m_silent when distrustBefore() finds its connection silent. Headers sent: X-Request-Id,
+ * X-Request-Stage, X-Request-Attempt, X-Request-Timeout-Ms (time left), Idempotency-Key, Endpoint-Load-Metrics-Format. Headers read:
+ * Retry-After, Endpoint-Load-Metrics (Open Request Cost Aggregation, num_requests_running and num_requests_waiting) and X-Upstream-State,
+ * where "leaving" asks for no new work.
  */
 UpstreamClient makeUpstreamClient(ConnectionPools &pools, const Clock &clock);
 constexpr milliseconds InterruptionPeriod{10}; ///< between two looks at the running attempts
--- a/src/upstream_internal.h
+++ b/src/upstream_internal.h
@@ -66,7 +66,7 @@
     httplib::Client m_client;
     std::mutex m_mutex; ///< guards m_descriptor
     int m_descriptor = -1; ///< duplicate of the socket, so that an interruption never hits a descriptor used anew
-    std::atomic<bool> m_created = false; ///< a socket was created since prepareConnection()
+    std::atomic<bool> m_created = false; ///< a socket was created for the current attempt
     TimePoint m_openedAt;
     TimePoint m_idleSince;
 };
@@ -124,7 +124,11 @@
 /** An idle or a new connection; null above the bound of open connections. */
 std::unique_ptr<Connection> acquireConnection(ConnectionPoolsState &state, const Address &address, Duration maxIdleAge, TimePoint now);
 /** Takes a connection back. Keeps it only when it is open, trusted and below the bounds. */
-void releaseConnection(ConnectionPoolsState &state, const Address &address, std::unique_ptr<Connection> connection, TimePoint now);
+void releaseConnection(ConnectionPoolsState &state,
+                       const Address &address,
+                       std::unique_ptr<Connection> connection,
+                       bool reused,
+                       TimePoint now);
 /** Drops all idle connections opened before @p before, and the others when they are released. */
 void distrustConnections(ConnectionPoolsState &state, const Address &address, TimePoint before);
 void startWatch(ConnectionPoolsState &state, const Clock &clock);
--- a/src/upstream_pool.cpp
+++ b/src/upstream_pool.cpp
@@ -73,13 +73,12 @@
 
 std::optional<TimePoint> distrustBefore(const ConnectionObservation &observation, Duration silenceLimit)
 {
-    if (!observation.m_reused || observation.m_received || !observation.m_interrupted) {
+    const bool hasWorked = observation.m_reused || observation.m_lastByteAt;
+    const TimePoint silentSince = observation.m_lastByteAt.value_or(observation.m_sentAt);
+    if (!hasWorked || !observation.m_interrupted || observation.m_endedAt - silentSince < silenceLimit) {
         return std::nullopt;
     }
-    if (observation.m_endedAt - observation.m_sentAt < silenceLimit) {
-        return std::nullopt;
-    }
-    return observation.m_sentAt;
+    return silentSince;
 }
 
 bool mayReuse(TimePoint openedAt, TimePoint idleSince, std::optional<TimePoint> distrustedBefore, Duration maxIdleAge, TimePoint now)
@@ -168,7 +167,9 @@
             --state.m_counts.m_idle;
             if (!mayReuse(connection->m_openedAt, connection->m_idleSince, pool.m_distrustedBefore, maxIdleAge, now)) {
                 ++state.m_counts.m_expired;
-            } else if (isQuiet(*connection)) {
+            } else if (!isQuiet(*connection)) {
+                ++state.m_counts.m_stale;
+            } else {
                 return connection;
             }
             closed.push_back(std::move(connection));
@@ -177,10 +178,16 @@
     return std::make_unique<Connection>(address);
 }
 
-void releaseConnection(ConnectionPoolsState &state, const Address &address, std::unique_ptr<Connection> connection, TimePoint now)
+void releaseConnection(ConnectionPoolsState &state,
+                       const Address &address,
+                       std::unique_ptr<Connection> connection,
+                       bool reused,
+                       TimePoint now)
 {
     const bool isOpen = connection->m_client.is_socket_open() != 0;
     const std::lock_guard lock(state.m_mutex);
+    state.m_counts.m_opened += connection->m_created ? 1 : 0;
+    state.m_counts.m_reused += reused ? 1 : 0;
     AddressPool &pool = state.m_pools[address];
     assert(pool.m_inUse > 0);
     --pool.m_inUse;
--- a/src/upstream_wire.cpp
+++ b/src/upstream_wire.cpp
@@ -164,6 +164,7 @@
     wire.m_headers = {
         {"Content-Type", "application/json"},
         {"Accept-Encoding", "identity"},
+        {"User-Agent", "medlarramp"},
         {"X-Request-Id", toString(request.m_request)},
         {"X-Request-Stage", std::to_string(request.m_stage)},
         {"X-Request-Attempt", std::to_string(request.m_attempt)},
