--- a/src/standins_internal.h
+++ b/src/standins_internal.h
@@ -107,6 +107,7 @@
     size_t m_maxRunning;
     size_t m_maxWaiting;
     bool m_reportsLoad;
+    bool m_refusesRepeats;
 };
 void serveUnary(const UnaryService &service,
                 const httplib::Request &request,
--- a/src/standins_server.cpp
+++ b/src/standins_server.cpp
@@ -19,6 +19,8 @@
 constexpr seconds ForeverLimit{3600};
 constexpr milliseconds RebindPeriod{10};
 constexpr milliseconds SlotCheckPeriod{2};
+constexpr int StatusConflict = 409;
+constexpr int StatusTooManyRequests = 429;
 
 thread_local ServerConnection *currentConnection = nullptr;
 
@@ -492,6 +494,18 @@
     return {slots.m_running, slots.m_waiting.size()};
 }
 
+namespace {
+
+/** Takes an idempotency key for the one run it allows. @return false when it is taken. */
+bool takeKey(StandinServer &server, const httplib::Request &request)
+{
+    const std::lock_guard lock(server.m_mutex);
+    return !request.has_header("Idempotency-Key")
+        || server.m_counts.m_runsByKey.try_emplace(request.get_header_value("Idempotency-Key"), 0).second;
+}
+
+} // namespace
+
 void serveUnary(const UnaryService &service,
                 const httplib::Request &request,
                 httplib::Response &response,
@@ -506,13 +520,18 @@
         setLoadHeader(response, running, waiting);
     }
     if (waiting >= service.m_maxWaiting) {
-        refuse(server, response, 429);
+        refuse(server, response, StatusTooManyRequests);
         return;
     }
     if (!acquireSlot(service.m_slots, service.m_maxRunning, 0)) {
         dropConnection();
         return;
     }
+    if (service.m_refusesRepeats && !takeKey(server, request)) {
+        releaseSlot(service.m_slots);
+        refuse(server, response, StatusConflict);
+        return;
+    }
     const Duration serviceTime(static_cast<int64_t>(static_cast<double>(service.m_serviceTime.count()) * faults(server).m_slowdown));
     const bool begun = beginRun(server, request);
     const bool finished = begun && pauseRequest(serviceTime);
--- a/src/standins_service.cpp
+++ b/src/standins_service.cpp
@@ -5,7 +5,6 @@
 namespace {
 
 constexpr int StatusBadRequest = 400;
-constexpr int StatusConflict = 409;
 
 /** The JSON input in the first BYTES tensor. */
 std::optional<nlohmann::json> tensorInput(const nlohmann::json &body)
@@ -32,7 +31,7 @@
 void serveInference(StagePoolStandin &pool, const httplib::Request &request, httplib::Response &response)
 {
     const UnaryService service{
-        *pool.m_http.m_server, *pool.m_slots, pool.m_serviceTime, pool.m_maxRunning, pool.m_maxWaiting, pool.m_reportsLoad};
+        *pool.m_http.m_server, *pool.m_slots, pool.m_serviceTime, pool.m_maxRunning, pool.m_maxWaiting, pool.m_reportsLoad, false};
     const std::string model = request.matches[1];
     const std::optional<nlohmann::json> body = parseBody(request);
     const std::optional<nlohmann::json> input = body ? tensorInput(*body) : std::nullopt;
@@ -46,25 +45,20 @@
     });
 }
 
-bool isRepeat(StandinServer &server, const httplib::Request &request)
-{
-    const std::lock_guard lock(server.m_mutex);
-    return server.m_counts.m_runsByKey.contains(request.get_header_value("Idempotency-Key"));
-}
-
 void serveCall(PlainServiceStandin &plain, const httplib::Request &request, httplib::Response &response)
 {
-    const UnaryService service{
-        *plain.m_http.m_server, *plain.m_slots, plain.m_serviceTime, plain.m_maxRunning, plain.m_maxWaiting, plain.m_reportsLoad};
+    const UnaryService service{*plain.m_http.m_server,
+                               *plain.m_slots,
+                               plain.m_serviceTime,
+                               plain.m_maxRunning,
+                               plain.m_maxWaiting,
+                               plain.m_reportsLoad,
+                               plain.m_refusesRepeats};
     const std::optional<nlohmann::json> input = parseBody(request);
     if (!input) {
         refuse(service.m_server, response, StatusBadRequest);
         return;
     }
-    if (plain.m_refusesRepeats && isRepeat(service.m_server, request)) {
-        refuse(service.m_server, response, StatusConflict);
-        return;
-    }
     serveUnary(service, request, response, [&] {
         return plain.m_handle ? plain.m_handle(request.path, *input) : nlohmann::json{{"path", request.path}, {"input", *input}};
     });
