--- a/src/policy.h
+++ b/src/policy.h
@@ -254,8 +254,8 @@
 /** Concurrency limit of one upstream replica, by additive increase and multiplicative decrease. */
 struct AdaptiveLimit {
     double m_limit = 16;
-    double m_lowest = 0; ///< lowest latency of the current window, seconds; 0: none
-    double m_lowestBefore = 0; ///< lowest latency of the window before, seconds; 0: none
+    double m_lowest = 0; ///< lowest moving mean of the current window, seconds; 0: none
+    double m_lowestBefore = 0; ///< lowest moving mean of the window before, seconds; 0: none
     TimePoint m_windowEnd;
     double m_recent = 0; ///< moving mean of the latency, seconds
     TimePoint m_nextDecrease; ///< decreases before this time answer the same congestion
@@ -267,18 +267,20 @@
 enum class LimitSignal : uint8_t {
     Success, ///< the latency is valid
     Rejected, ///< the upstream said that it is overloaded
-    Failed, ///< timeout or broken connection
+    Failed, ///< the attempt's time limit passed
     Ignored, ///< cancelled by this entry, or an error that says nothing about load
 };
 
 struct LimitSample {
     LimitSignal m_signal = LimitSignal::Success;
-    Duration m_latency{}; ///< of a comparable unit: first token of an engine, whole call otherwise
+    Duration m_latency{}; ///< of the whole attempt, divided by its expected work relative to an average request
     uint32_t m_open = 0; ///< own open requests on the replica when the attempt began, itself included
 
     bool operator==(const LimitSample &) const = default;
 };
 
+/** What an attempt's end says about load. A refused or lost connection says nothing: the replica is down, not slow. */
+LimitSignal limitSignal(const AttemptVerdict &verdict);
 AdaptiveLimit makeAdaptiveLimit(const LimitSettings &settings);
 void observeSample(AdaptiveLimit &limit, const LimitSettings &settings, const LimitSample &sample, TimePoint now);
 /** Whether one more request may be opened on a replica with @p open own requests. */
@@ -349,7 +351,7 @@
 /** One replica of the subset as the routing decision sees it. */
 struct Candidate {
     uint64_t m_key = 0; ///< replicaKey() of the address
-    bool m_usable = true; ///< live, not ejected, not tried before for this request, with room under its limit
+    bool m_usable = true; ///< accepts new work, not ejected, has room; when routing: not tried before for this request
     uint8_t m_distance = 0; ///< 0: same failure domain, 1: other
     uint32_t m_open = 0; ///< own open requests
     double m_limit = 16; ///< of the adaptive limit
@@ -386,6 +388,11 @@
 
 /** Stable key of a replica. Never 0. */
 uint64_t replicaKey(const Address &address);
+/**
+ * Places of a pool for dispatchRequests(): the whole limits of the usable replicas, and elsewhere the requests still open.
+ * While fewer requests run, at least one usable replica has room.
+ */
+double poolCapacity(std::span<const Candidate> candidates);
 /** Expected load of a candidate as a share of its limit. Lower is better. */
 double routeScore(const Candidate &candidate, const RoutingSettings &settings, TimePoint now);
 /**
@@ -525,12 +532,14 @@
 };
 
 struct HealthSample {
-    bool m_failed = false; ///< ConnectFailed, ConnectionLost, UpstreamError, AttemptTimeout; never ConnectionSilent
+    bool m_failed = false; ///< isReplicaFailure()
     Duration m_latency{}; ///< as in LimitSample; of a timed out or cancelled attempt, the time so far
 
     bool operator==(const HealthSample &) const = default;
 };
 
+/** Whether an attempt's end counts as a failure of the replica. */
+bool isReplicaFailure(const AttemptVerdict &verdict);
 /**
  * Records the end of an attempt on replica @p index of a pool.
  * @return true when this ejects the replica. Its Candidate::m_usableSince is then the end of the ejection.
--- a/src/policy_health.cpp
+++ b/src/policy_health.cpp
@@ -97,6 +97,22 @@
 
 } // namespace
 
+bool isReplicaFailure(const AttemptVerdict &verdict)
+{
+    switch (verdict.m_reason) {
+    case Reason::ConnectFailed:
+    case Reason::ConnectionLost:
+    case Reason::AttemptTimeout:
+    case Reason::UpstreamError:
+    case Reason::StreamTruncated:
+    case Reason::InvalidAnswer:
+        return verdict.m_outcome != Outcome::Answered;
+    default:
+        // A silent connection is judged by a fresh one; overload and leaving have their own decisions.
+        return false;
+    }
+}
+
 bool isEjected(const ReplicaHealth &health, TimePoint now)
 {
     return now < health.m_ejectedUntil;
--- a/src/policy_limits.cpp
+++ b/src/policy_limits.cpp
@@ -95,8 +95,9 @@
 void recordLatency(AdaptiveLimit &limit, Duration latency)
 {
     const double value = std::max(toSeconds(latency), 1 / MicrosecondsPerSecond);
-    limit.m_lowest = limit.m_lowest > 0 ? std::min(limit.m_lowest, value) : value;
     limit.m_recent = limit.m_recent > 0 ? limit.m_recent + RecentGain * (value - limit.m_recent) : value;
+    // A single short request would set a bound that the average one can never meet, so the lowest mean counts.
+    limit.m_lowest = limit.m_lowest > 0 ? std::min(limit.m_lowest, limit.m_recent) : limit.m_recent;
 }
 
 } // namespace
@@ -134,6 +135,17 @@
     it->second.m_open -= 1;
 }
 
+LimitSignal limitSignal(const AttemptVerdict &verdict)
+{
+    if (verdict.m_outcome == Outcome::Answered) {
+        return LimitSignal::Success;
+    }
+    if (verdict.m_reason == Reason::UpstreamOverloaded) {
+        return LimitSignal::Rejected;
+    }
+    return verdict.m_reason == Reason::AttemptTimeout ? LimitSignal::Failed : LimitSignal::Ignored;
+}
+
 AdaptiveLimit makeAdaptiveLimit(const LimitSettings &settings)
 {
     AdaptiveLimit limit;
--- a/src/policy_routing.cpp
+++ b/src/policy_routing.cpp
@@ -157,6 +157,16 @@
     return std::max<uint64_t>(1, hash64(toString(address)));
 }
 
+double poolCapacity(std::span<const Candidate> candidates)
+{
+    double places = 0;
+    for (const Candidate &candidate : candidates) {
+        const double limit = candidate.m_usable ? std::max(1.0, std::floor(candidate.m_limit)) : 0;
+        places += std::max(limit, static_cast<double>(candidate.m_open));
+    }
+    return places;
+}
+
 double routeScore(const Candidate &candidate, const RoutingSettings &settings, TimePoint now)
 {
     const double load = candidate.m_open + foreignLoad(candidate, settings, now) + 1;
