Await a free place before batch is preempted

An urgent request cancelled a batch run at almost every arrival, because batch takes each free place at once. The service time is estimated by class, and the expected wait counts the organisation's own share.

--- a/bench/bench_policy.cpp
+++ b/bench/bench_policy.cpp
@@ -82,6 +82,10 @@
             run.m_figures.push_back({name + ".lost." + reason, static_cast<double>(result.m_losses[i]), "requests"});
         }
     }
+    constexpr const char *CauseNames[] = {"cancelled", "lost", "unanswered", "timed_out", "preempted"};
+    for (size_t i = 0; i < result.m_wastedByCause.size(); ++i) {
+        run.m_figures.push_back({name + ".wasted." + CauseNames[i], Percent * result.m_wastedByCause[i] / result.m_usedSeconds, "%"});
+    }
     run.m_figures.push_back({name + ".preemptions", static_cast<double>(result.m_preemptions), "count"});
     run.m_figures.push_back({name + ".hedges", static_cast<double>(result.m_hedges), "count"});
     run.m_figures.push_back({name + ".retries", static_cast<double>(result.m_retries), "count"});
--- a/bench/bench_policy_simulation.cpp
+++ b/bench/bench_policy_simulation.cpp
@@ -72,6 +72,7 @@
     std::vector<uint64_t> m_open; ///< attempts
     std::vector<size_t> m_tried; ///< replicas
     int m_runs = 0; ///< of the current stage, completed on a replica
+    uint64_t m_place = 0; ///< number of the place held; a retry planned for an earlier place is dropped
 };
 
 struct EntryPool {
@@ -86,6 +87,7 @@
     DurationEstimate m_estimate; ///< attempts, divided by their cost
     AdmissionActions m_actions;
     size_t m_nextReplica = 0; ///< round robin
+    TimePoint m_again; ///< next dispatch without another event
 };
 
 struct Event {
@@ -131,6 +133,12 @@
     sim.m_events.push({std::max(at, sim.m_now), sim.m_order++, std::move(run)});
 }
 
+void waste(Simulation &sim, WasteCause cause, double slotSeconds)
+{
+    sim.m_result.m_wastedSeconds += slotSeconds;
+    sim.m_result.m_wastedByCause[static_cast<size_t>(cause)] += slotSeconds;
+}
+
 const std::vector<StageSpec> &stagesOf(const Simulation &sim, RequestClass requestClass)
 {
     return requestClass == RequestClass::Urgent ? sim.m_deployment.m_urgentStages : sim.m_deployment.m_batchStages;
@@ -275,7 +283,7 @@
         Attempt &attempt = sim.m_attempts.at(id);
         if (attempt.m_served != TimePoint{}) {
             endService(sim, id);
-            sim.m_result.m_wastedSeconds += toSeconds(sim.m_now - attempt.m_served);
+            waste(sim, WasteCause::Lost, toSeconds(sim.m_now - attempt.m_served));
         }
         attempt.m_ended = true;
         replyLater(sim, id, lostEvidence());
@@ -327,7 +335,7 @@
 /** Gives an attempt up; what it used is wasted. */
 void cancelAttempt(Simulation &sim, uint64_t attemptId)
 {
-    sim.m_result.m_wastedSeconds += withdrawAttempt(sim, attemptId);
+    waste(sim, WasteCause::Cancelled, withdrawAttempt(sim, attemptId));
     closeAttempt(sim, attemptId);
 }
 
@@ -336,7 +344,7 @@
     const SimulatedRequest request = sim.m_requests.at(id);
     const bool answered = reason == Reason::None && sim.m_now <= request.m_deadline;
     if (!answered) {
-        sim.m_result.m_wastedSeconds += request.m_spent;
+        waste(sim, WasteCause::Unanswered, request.m_spent);
     }
     if (request.m_class == RequestClass::Batch) {
         sim.m_result.m_batchAnswered += answered ? 1 : 0;
@@ -460,8 +468,9 @@
     }
     request.m_attempt += 1;
     sim.m_result.m_retries += 1;
-    schedule(sim, sim.m_now + decision.m_delay, [&sim, id]() {
-        if (sim.m_requests.contains(id)) {
+    schedule(sim, sim.m_now + decision.m_delay, [&sim, id, place = request.m_place]() {
+        const auto it = sim.m_requests.find(id);
+        if (it != sim.m_requests.end() && it->second.m_place == place) {
             sendAttempt(sim, id, false);
         }
     });
@@ -544,7 +553,7 @@
     }
     AttemptEvidence evidence = lostEvidence();
     evidence.m_timedOut = true;
-    sim.m_result.m_wastedSeconds += withdrawAttempt(sim, attemptId);
+    waste(sim, WasteCause::TimedOut, withdrawAttempt(sim, attemptId));
     reply(sim, attemptId, evidence);
 }
 
@@ -625,7 +634,7 @@
         const double used = withdrawAttempt(sim, attemptId);
         const Attempt attempt = closeAttempt(sim, attemptId);
         const double factor = sim.m_replicas[attempt.m_pool][attempt.m_replica].m_factor;
-        sim.m_result.m_wastedSeconds += ResumeLoss * used;
+        waste(sim, WasteCause::Preempted, ResumeLoss * used);
         request.m_spent += (1 - ResumeLoss) * used;
         request.m_work = std::max(0.001, request.m_work - (1 - ResumeLoss) * used / factor);
         if (attempt.m_pool == sim.m_modelPool) {
@@ -634,6 +643,7 @@
     }
     leavePool(sim, id, Finish::Preempted);
     request.m_attempt = 0;
+    request.m_place += 1;
     request.m_tried.clear();
     const size_t entry = request.m_entry;
     EntryPool &pool = sim.m_entries[entry][stageOf(sim, request).m_pool];
@@ -644,7 +654,7 @@
     again.m_weight = sim.m_deployment.m_organisations[request.m_organisation].m_weight;
     again.m_cost = costOf(request, request.m_fullWork);
     again.m_deadline = request.m_deadline;
-    again.m_preemptible = again.m_resumable = true;
+    again.m_preemptible = again.m_resumable = again.m_resumed = true;
     if (enqueueRequest(pool.m_admission, again, sim.m_now) != Reason::None) {
         endRequest(sim, id, Reason::QueueFull);
     }
@@ -656,6 +666,10 @@
     updateCandidates(sim, pool);
     dispatchRequests(pool.m_admission, poolCapacity(pool.m_candidates), sim.m_now, pool.m_actions);
     const AdmissionActions actions = pool.m_actions;
+    if (actions.m_again && (pool.m_again <= sim.m_now || *actions.m_again < pool.m_again)) {
+        pool.m_again = *actions.m_again;
+        schedule(sim, pool.m_again, [&sim, entry, poolIndex]() { dispatch(sim, entry, poolIndex); });
+    }
     for (const AdmissionRefusal &refusal : actions.m_refuse) {
         endRequest(sim, refusal.m_id, refusal.m_reason);
     }
@@ -685,6 +699,7 @@
     const StageSpec &stage = stageOf(sim, request);
     const double mean = toSeconds(stage.m_service);
     request.m_attempt = 0;
+    request.m_place += 1;
     request.m_tried.clear();
     request.m_runs = 0;
     // Service times vary between half and one and a half times their mean.
--- a/bench/simulation.h
+++ b/bench/simulation.h
@@ -9,6 +9,7 @@
  *  [SECTION] Result       what was measured
  */
 
+#include <array>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -83,6 +84,15 @@
 // [SECTION] Result
 //-----------------------------------------------------------------------------
 
+enum class WasteCause : uint8_t {
+    Cancelled, ///< a hedge or its first attempt, or an attempt of a failed request
+    Lost, ///< the replica failed
+    Unanswered, ///< finished stages of a request that got no answer in time
+    TimedOut,
+    Preempted,
+    Count, ///< number of causes, not a cause
+};
+
 struct Result {
     uint64_t m_urgent = 0; ///< urgent requests whose end fell into the run
     uint64_t m_urgentAnswered = 0; ///< of them, answered within the deadline
@@ -92,6 +102,7 @@
     double m_urgentSeconds = 0; ///< slot time of the model pool that gave delivered urgent answers
     double m_batchSeconds = 0; ///< slot time of the model pool that gave delivered batch answers
     double m_wastedSeconds = 0; ///< slot time of all pools whose answer nobody received
+    std::array<double, static_cast<size_t>(WasteCause::Count)> m_wastedByCause{};
     double m_usedSeconds = 0; ///< slot time of all pools
     double m_capacitySeconds = 0; ///< slot time that the model pool offered
     uint64_t m_repeatedRuns = 0; ///< non-idempotent stages that ran twice
--- a/src/policy.h
+++ b/src/policy.h
@@ -81,6 +81,7 @@
     double m_wasteShare = 0.02; ///< work that preemption may discard, as a share of finished work
     Duration m_wasteBurst = seconds(20); ///< most unused waste allowance that is kept, in service time
     double m_resumeCost = 0.1; ///< share of its running time that a preempted, resumable request repeats
+    Duration m_preemptAfter = milliseconds(100); ///< urgent requests wait this long for a place before batch is cancelled
     Duration m_probeInterval = seconds(1); ///< one request is tried this often although its deadline looks unreachable
 
     bool operator==(const AdmissionSettings &) const = default;
@@ -97,7 +98,9 @@
     Duration m_remaining{}; ///< expected time of the stages after this one
     bool m_preemptible = false; ///< batch only: may be cancelled for urgent work and queued again
     bool m_resumable = false; ///< a preempted run continues where it stopped
+    bool m_resumed = false; ///< was preempted: goes to the front of its organisation's queue
     bool m_probe = false; ///< set by enqueueRequest(): tried although its deadline looks unreachable
+    TimePoint m_queuedAt; ///< set by enqueueRequest()
 
     bool operator==(const AdmissionRequest &) const = default;
 };
@@ -120,6 +123,8 @@
 struct OrganisationQueue {
     std::deque<AdmissionRequest> m_requests;
     double m_finishTag = 0; ///< virtual time at which its last started request ends
+    double m_cost = 0; ///< work waiting
+    double m_weight = 0; ///< weight that counts in FairQueue::m_weight; 0 while nothing waits
 
     bool operator==(const OrganisationQueue &) const = default;
 };
@@ -131,6 +136,7 @@
     double m_virtualTime = 0; ///< start tag of the request started last
     size_t m_size = 0; ///< requests waiting
     double m_cost = 0; ///< work waiting
+    double m_weight = 0; ///< sum of the weights of the organisations with waiting requests
 
     bool operator==(const FairQueue &) const = default;
 };
@@ -153,7 +159,7 @@
     std::unordered_map<uint64_t, RunningRequest> m_running; ///< by request identifier; bounded by the capacity
     size_t m_runningUrgent = 0;
     size_t m_stopping = 0; ///< preempted requests that still hold a place
-    DurationEstimate m_service; ///< time that a request of cost 1 holds a place
+    std::array<DurationEstimate, 2> m_service; ///< by class: time that a request of cost 1 holds a place
     double m_capacity = 0; ///< places, as of the last dispatch
     double m_batchCredit = 0; ///< guaranteed batch work not yet started, in cost units
     double m_wasteAllowance = 0; ///< seconds of service time that preemption may discard
@@ -174,6 +180,7 @@
     std::vector<uint64_t> m_start; ///< now hold a place
     std::vector<AdmissionRefusal> m_refuse; ///< removed from the queue
     std::vector<uint64_t> m_preempt; ///< to be cancelled; each still needs finishRequest()
+    std::optional<TimePoint> m_again; ///< dispatchRequests() has to be called at this time if nothing happens before
 };
 
 /**
@@ -198,7 +205,7 @@
 /** Removes a waiting request, whose caller has gone. @return false when it was not waiting. */
 bool withdrawRequest(Admission &admission, uint64_t id, uint64_t organisation, RequestClass requestClass);
 /** Expected time until a request that arrives now gets a place. */
-Duration expectedWait(const Admission &admission, RequestClass requestClass);
+Duration expectedWait(const Admission &admission, const AdmissionRequest &request);
 
 //-----------------------------------------------------------------------------
 // [SECTION] Limits by organisation
--- a/src/policy_admission.cpp
+++ b/src/policy_admission.cpp
@@ -36,6 +36,40 @@
     return std::max(queue.m_virtualTime, organisation.m_finishTag);
 }
 
+const DurationEstimate &serviceOf(const Admission &admission, RequestClass requestClass)
+{
+    return admission.m_service[static_cast<size_t>(requestClass)];
+}
+
+/** Counts the weight of an organisation while requests of it wait. */
+void activate(FairQueue &queue, OrganisationQueue &organisation, double weight)
+{
+    organisation.m_weight = std::max(weight, MinWeight);
+    queue.m_weight += organisation.m_weight;
+}
+
+void deactivate(FairQueue &queue, OrganisationQueue &organisation)
+{
+    queue.m_weight -= organisation.m_weight;
+    organisation.m_weight = 0;
+    organisation.m_cost = 0;
+}
+
+/** Sums of floating point numbers drift, so they start anew whenever nothing waits. */
+void takeCost(FairQueue &queue, OrganisationQueue &organisation, double cost)
+{
+    queue.m_size -= 1;
+    queue.m_cost -= cost;
+    organisation.m_cost -= cost;
+    if (organisation.m_requests.empty()) {
+        deactivate(queue, organisation);
+    }
+    if (queue.m_size == 0) {
+        queue.m_cost = 0;
+        queue.m_weight = 0;
+    }
+}
+
 void eraseHead(FairQueue &queue, uint64_t organisation)
 {
     auto it = queue.m_order.begin();
@@ -63,10 +97,16 @@
     OrganisationQueue &organisation = queue.m_queues[request.m_organisation];
     if (organisation.m_requests.empty()) {
         queue.m_order.emplace(startTag(queue, organisation), request.m_organisation);
+        activate(queue, organisation, request.m_weight);
+    }
+    if (request.m_resumed) {
+        organisation.m_requests.push_front(request);
+    } else {
+        organisation.m_requests.push_back(request);
     }
-    organisation.m_requests.push_back(request);
     queue.m_size += 1;
     queue.m_cost += request.m_cost;
+    organisation.m_cost += request.m_cost;
 }
 
 /** Removes the request that is next in fair order. */
@@ -78,8 +118,7 @@
     OrganisationQueue &organisation = queue.m_queues[key];
     AdmissionRequest request = organisation.m_requests.front();
     organisation.m_requests.pop_front();
-    queue.m_size -= 1;
-    queue.m_cost = queue.m_size == 0 ? 0 : queue.m_cost - request.m_cost;
+    takeCost(queue, organisation, request.m_cost);
     if (charge) {
         queue.m_virtualTime = tag;
         organisation.m_finishTag = tag + std::max(request.m_cost, MinCost) / std::max(request.m_weight, MinWeight);
@@ -93,10 +132,11 @@
 
 Duration expectedService(const Admission &admission, const AdmissionRequest &request)
 {
-    if (admission.m_service.m_samples < MinEstimateSamples) {
+    const DurationEstimate &service = serviceOf(admission, request.m_class);
+    if (service.m_samples < MinEstimateSamples) {
         return Duration{0};
     }
-    return fromSeconds(admission.m_service.m_mean * request.m_cost);
+    return fromSeconds(service.m_mean * request.m_cost);
 }
 
 bool canMeetDeadline(const Admission &admission, const AdmissionRequest &request, Duration wait, TimePoint now)
@@ -197,10 +237,43 @@
     return best;
 }
 
-/** Frees places for the urgent requests that wait after every free place is taken. */
+/** Number of urgent requests that have waited for m_preemptAfter, counted up to @p bound. */
+size_t countOverdue(const Admission &admission, TimePoint now, size_t bound)
+{
+    size_t count = 0;
+    for (const auto &[key, organisation] : admission.m_urgent.m_queues) {
+        for (const AdmissionRequest &request : organisation.m_requests) {
+            if (count >= bound || request.m_queuedAt + admission.m_settings.m_preemptAfter > now) {
+                break;
+            }
+            count += 1;
+        }
+    }
+    return count;
+}
+
+/** When the next waiting urgent request becomes overdue. */
+std::optional<TimePoint> nextOverdue(const Admission &admission, TimePoint now)
+{
+    std::optional<TimePoint> next;
+    for (const auto &[key, organisation] : admission.m_urgent.m_queues) {
+        if (!organisation.m_requests.empty()) {
+            const TimePoint at =
+                std::max(now + milliseconds(1), organisation.m_requests.front().m_queuedAt + admission.m_settings.m_preemptAfter);
+            next = next ? std::min(*next, at) : at;
+        }
+    }
+    return next;
+}
+
+/**
+ * Frees places for the urgent requests that wait although every free place is taken. A short wait comes first, because
+ * places become free all the time and each cancelled run repeats work.
+ */
 void preemptBatch(Admission &admission, TimePoint now, AdmissionActions &actions)
 {
-    while (admission.m_urgent.m_size > admission.m_stopping) {
+    const size_t overdue = countOverdue(admission, now, admission.m_running.size() + 1);
+    while (overdue > admission.m_stopping) {
         RunningRequest *victim = cheapestVictim(admission, now);
         if (!victim) {
             return;
@@ -253,16 +326,23 @@
     return fromSeconds(estimate.m_mean + deviations * estimate.m_deviation);
 }
 
-Duration expectedWait(const Admission &admission, RequestClass requestClass)
+Duration expectedWait(const Admission &admission, const AdmissionRequest &request)
 {
-    const bool urgent = requestClass == RequestClass::Urgent;
+    const bool urgent = request.m_class == RequestClass::Urgent;
+    const FairQueue &queue = urgent ? admission.m_urgent : admission.m_batch;
     const size_t busy = urgent ? admission.m_runningUrgent : admission.m_running.size();
-    const double places = std::max(1.0, admission.m_capacity);
-    if (admission.m_service.m_samples < MinEstimateSamples || static_cast<double>(busy) < places) {
+    const DurationEstimate &service = serviceOf(admission, request.m_class);
+    if (service.m_samples < MinEstimateSamples || static_cast<double>(busy) < std::floor(admission.m_capacity)) {
         return Duration{0};
     }
-    const double ahead = admission.m_urgent.m_cost + (urgent ? 0 : admission.m_batch.m_cost);
-    return fromSeconds(ahead * admission.m_service.m_mean / places);
+    const auto own = queue.m_queues.find(request.m_organisation);
+    const double ownCost = own == queue.m_queues.end() || request.m_resumed ? 0 : own->second.m_cost;
+    const double ownWeight = own == queue.m_queues.end() ? 0 : own->second.m_weight;
+    const double weight = std::max(request.m_weight, MinWeight);
+    // While the own requests before this one are served, the others get their shares, but no more than they wait for.
+    const double fair = ownCost * (queue.m_weight - ownWeight + weight) / weight;
+    const double places = admission.m_capacity - (urgent ? 0.0 : static_cast<double>(admission.m_runningUrgent));
+    return fromSeconds(std::min(fair, queue.m_cost) * service.m_mean / std::max(1.0, places));
 }
 
 Reason enqueueRequest(Admission &admission, const AdmissionRequest &request, TimePoint now)
@@ -275,11 +355,9 @@
     if (queue.m_size >= bound || ownSize >= settings.m_maxQueuedByOrganisation) {
         return Reason::QueueFull;
     }
-    // With one organisation in the queue the wait is known; with several, fair order may serve this one earlier.
-    const bool alone = queue.m_queues.size() <= (own == queue.m_queues.end() ? 0U : 1U);
-    const Duration wait = alone ? expectedWait(admission, request.m_class) : Duration{0};
     AdmissionRequest queued = request;
-    queued.m_probe = !canMeetDeadline(admission, request, wait, now);
+    queued.m_queuedAt = now;
+    queued.m_probe = !canMeetDeadline(admission, request, expectedWait(admission, request), now);
     if (queued.m_probe && !takeProbe(admission, request, now)) {
         return Reason::DeadlineUnreachable;
     }
@@ -300,6 +378,8 @@
         }
     }
     preemptBatch(admission, now, actions);
+    const bool preemptible = admission.m_running.size() > admission.m_runningUrgent;
+    actions.m_again = preemptible ? nextOverdue(admission, now) : std::nullopt;
 }
 
 void finishRequest(Admission &admission, uint64_t id, Finish finish, TimePoint now)
@@ -314,7 +394,8 @@
     if (finish != Finish::Useful) {
         return;
     }
-    addSample(admission.m_service, fromSeconds(held / std::max(running.m_request.m_cost, MinCost)));
+    addSample(admission.m_service[static_cast<size_t>(running.m_request.m_class)],
+              fromSeconds(held / std::max(running.m_request.m_cost, MinCost)));
     admission.m_usefulSeconds += held;
     admission.m_wasteAllowance =
         std::min(toSeconds(admission.m_settings.m_wasteBurst), admission.m_wasteAllowance + held * admission.m_settings.m_wasteShare);
@@ -332,9 +413,9 @@
     if (it == requests.end()) {
         return false;
     }
-    queue.m_size -= 1;
-    queue.m_cost = queue.m_size == 0 ? 0 : queue.m_cost - it->m_cost;
+    const double cost = it->m_cost;
     requests.erase(it);
+    takeCost(queue, own->second, cost);
     if (requests.empty()) {
         eraseHead(queue, organisation);
     }
--- a/tests/test_policy_admission.cpp
+++ b/tests/test_policy_admission.cpp
@@ -27,7 +27,8 @@
 void teachService(Admission &admission, Duration service)
 {
     for (int i = 0; i < 50; ++i) {
-        addSample(admission.m_service, service);
+        addSample(admission.m_service[0], service);
+        addSample(admission.m_service[1], service);
     }
 }
 
@@ -218,7 +219,12 @@
         dispatchRequests(admission, 2, Start, actions);
         enqueueRequest(admission, makeRequest(2, RequestClass::Batch), Start + seconds(1));
         dispatchRequests(admission, 2, Start + seconds(1), actions);
-        enqueueRequest(admission, makeRequest(3, RequestClass::Urgent), Start + seconds(2));
+        const TimePoint queuedAt = Start + seconds(2) - admission.m_settings.m_preemptAfter;
+        enqueueRequest(admission, makeRequest(3, RequestClass::Urgent), queuedAt);
+        dispatchRequests(admission, 2, queuedAt, actions);
+        // A place that becomes free by itself costs nothing, so it is awaited for a short time.
+        CPPUNIT_ASSERT(actions.m_preempt.empty());
+        CPPUNIT_ASSERT(actions.m_again == Start + seconds(2));
         dispatchRequests(admission, 2, Start + seconds(2), actions);
         CPPUNIT_ASSERT(actions.m_start.empty());
         CPPUNIT_ASSERT(actions.m_preempt == std::vector<uint64_t>{2}); // the younger one loses less
