--- a/src/policy.h
+++ b/src/policy.h
@@ -81,6 +81,7 @@
     double m_wasteShare = 0.02; ///< work that preemption may discard, as a share of finished work
     Duration m_wasteBurst = seconds(20); ///< most unused waste allowance that is kept, in service time
     double m_resumeCost = 0.1; ///< share of its running time that a preempted, resumable request repeats
+    Duration m_preemptAfter = milliseconds(100); ///< urgent requests wait this long for a place before batch is cancelled
     Duration m_probeInterval = seconds(1); ///< one request is tried this often although its deadline looks unreachable
 
     bool operator==(const AdmissionSettings &) const = default;
@@ -97,7 +98,9 @@
     Duration m_remaining{}; ///< expected time of the stages after this one
     bool m_preemptible = false; ///< batch only: may be cancelled for urgent work and queued again
     bool m_resumable = false; ///< a preempted run continues where it stopped
+    bool m_resumed = false; ///< was preempted: goes to the front of its organisation's queue
     bool m_probe = false; ///< set by enqueueRequest(): tried although its deadline looks unreachable
+    TimePoint m_queuedAt; ///< set by enqueueRequest()
 
     bool operator==(const AdmissionRequest &) const = default;
 };
@@ -120,6 +123,8 @@
 struct OrganisationQueue {
     std::deque<AdmissionRequest> m_requests;
     double m_finishTag = 0; ///< virtual time at which its last started request ends
+    double m_cost = 0; ///< work waiting
+    double m_weight = 0; ///< weight that counts in FairQueue::m_weight; 0 while nothing waits
 
     bool operator==(const OrganisationQueue &) const = default;
 };
@@ -131,6 +136,7 @@
     double m_virtualTime = 0; ///< start tag of the request started last
     size_t m_size = 0; ///< requests waiting
     double m_cost = 0; ///< work waiting
+    double m_weight = 0; ///< sum of the weights of the organisations with waiting requests
 
     bool operator==(const FairQueue &) const = default;
 };
@@ -153,7 +159,7 @@
     std::unordered_map<uint64_t, RunningRequest> m_running; ///< by request identifier; bounded by the capacity
     size_t m_runningUrgent = 0;
     size_t m_stopping = 0; ///< preempted requests that still hold a place
-    DurationEstimate m_service; ///< time that a request of cost 1 holds a place
+    std::array<DurationEstimate, 2> m_service; ///< by class: time that a request of cost 1 holds a place
     double m_capacity = 0; ///< places, as of the last dispatch
     double m_batchCredit = 0; ///< guaranteed batch work not yet started, in cost units
     double m_wasteAllowance = 0; ///< seconds of service time that preemption may discard
@@ -174,6 +180,7 @@
     std::vector<uint64_t> m_start; ///< now hold a place
     std::vector<AdmissionRefusal> m_refuse; ///< removed from the queue
     std::vector<uint64_t> m_preempt; ///< to be cancelled; each still needs finishRequest()
+    std::optional<TimePoint> m_again; ///< dispatchRequests() has to be called at this time if nothing happens before
 };
 
 /**
@@ -198,7 +205,7 @@
 /** Removes a waiting request, whose caller has gone. @return false when it was not waiting. */
 bool withdrawRequest(Admission &admission, uint64_t id, uint64_t organisation, RequestClass requestClass);
 /** Expected time until a request that arrives now gets a place. */
-Duration expectedWait(const Admission &admission, RequestClass requestClass);
+Duration expectedWait(const Admission &admission, const AdmissionRequest &request);
 
 //-----------------------------------------------------------------------------
 // [SECTION] Limits by organisation
@@ -254,8 +261,8 @@
 /** Concurrency limit of one upstream replica, by additive increase and multiplicative decrease. */
 struct AdaptiveLimit {
     double m_limit = 16;
-    double m_lowest = 0; ///< lowest latency of the current window, seconds; 0: none
-    double m_lowestBefore = 0; ///< lowest latency of the window before, seconds; 0: none
+    double m_lowest = 0; ///< lowest moving mean of the current window, seconds; 0: none
+    double m_lowestBefore = 0; ///< lowest moving mean of the window before, seconds; 0: none
     TimePoint m_windowEnd;
     double m_recent = 0; ///< moving mean of the latency, seconds
     TimePoint m_nextDecrease; ///< decreases before this time answer the same congestion
@@ -267,18 +274,20 @@
 enum class LimitSignal : uint8_t {
     Success, ///< the latency is valid
     Rejected, ///< the upstream said that it is overloaded
-    Failed, ///< timeout or broken connection
+    Failed, ///< the attempt's time limit passed
     Ignored, ///< cancelled by this entry, or an error that says nothing about load
 };
 
 struct LimitSample {
     LimitSignal m_signal = LimitSignal::Success;
-    Duration m_latency{}; ///< of a comparable unit: first token of an engine, whole call otherwise
+    Duration m_latency{}; ///< of the whole attempt, divided by its expected work relative to an average request
     uint32_t m_open = 0; ///< own open requests on the replica when the attempt began, itself included
 
     bool operator==(const LimitSample &) const = default;
 };
 
+/** What an attempt's end says about load. A refused or lost connection says nothing: the replica is down, not slow. */
+LimitSignal limitSignal(const AttemptVerdict &verdict);
 AdaptiveLimit makeAdaptiveLimit(const LimitSettings &settings);
 void observeSample(AdaptiveLimit &limit, const LimitSettings &settings, const LimitSample &sample, TimePoint now);
 /** Whether one more request may be opened on a replica with @p open own requests. */
@@ -349,7 +358,7 @@
 /** One replica of the subset as the routing decision sees it. */
 struct Candidate {
     uint64_t m_key = 0; ///< replicaKey() of the address
-    bool m_usable = true; ///< live, not ejected, not tried before for this request, with room under its limit
+    bool m_usable = true; ///< accepts new work, not ejected, has room; when routing: not tried before for this request
     uint8_t m_distance = 0; ///< 0: same failure domain, 1: other
     uint32_t m_open = 0; ///< own open requests
     double m_limit = 16; ///< of the adaptive limit
@@ -386,6 +395,11 @@
 
 /** Stable key of a replica. Never 0. */
 uint64_t replicaKey(const Address &address);
+/**
+ * Places of a pool for dispatchRequests(): the whole limits of the usable replicas, and elsewhere the requests still open.
+ * While fewer requests run, at least one usable replica has room.
+ */
+double poolCapacity(std::span<const Candidate> candidates);
 /** Expected load of a candidate as a share of its limit. Lower is better. */
 double routeScore(const Candidate &candidate, const RoutingSettings &settings, TimePoint now);
 /**
@@ -525,12 +539,14 @@
 };
 
 struct HealthSample {
-    bool m_failed = false; ///< ConnectFailed, ConnectionLost, UpstreamError, AttemptTimeout; never ConnectionSilent
+    bool m_failed = false; ///< isReplicaFailure()
     Duration m_latency{}; ///< as in LimitSample; of a timed out or cancelled attempt, the time so far
 
     bool operator==(const HealthSample &) const = default;
 };
 
+/** Whether an attempt's end counts as a failure of the replica. */
+bool isReplicaFailure(const AttemptVerdict &verdict);
 /**
  * Records the end of an attempt on replica @p index of a pool.
  * @return true when this ejects the replica. Its Candidate::m_usableSince is then the end of the ejection.
