--- a/src/standins_store.cpp
+++ b/src/standins_store.cpp
@@ -619,7 +619,8 @@
 using nlohmann::json;
 
 constexpr int ServerThreads = 64; ///< a pending watch holds one
-constexpr milliseconds SilentLimit{10'000}; ///< a silent call is held at most this long
+constexpr time_t KeepAliveSeconds = 3; ///< a stop waits this long for idle connections; clients keep them for less
+constexpr milliseconds SilentLimit{3'000}; ///< a silent call is held at most this long
 
 //--- JSON of the gateway, the server's side
 
@@ -1042,7 +1043,7 @@
     server->m_server->new_task_queue = [] { return new httplib::ThreadPool(ServerThreads); };
     server->m_server->set_tcp_nodelay(true);
     server->m_server->set_keep_alive_max_count(1'000'000);
-    server->m_server->set_keep_alive_timeout(60);
+    server->m_server->set_keep_alive_timeout(KeepAliveSeconds);
     addRoute(*server, "/v3/kv/range", serveRange);
     addRoute(*server, "/v3/kv/txn", serveTransaction);
     addRoute(*server, "/v3/lease/grant", serveGrant);
--- a/src/store.h
+++ b/src/store.h
@@ -287,8 +287,10 @@
 };
 
 /**
- * A transaction whose compares cannot hold twice: at least one compares the ModRevision, CreateRevision or Version, with
- * Equal, of a key that the transaction writes. Sending it again is therefore safe.
+ * A transaction whose compares cannot hold twice, so that sending it again is safe: at least one compares the
+ * ModRevision, CreateRevision or Version, with Equal, of a key that the transaction writes. A compare with 0 holds again
+ * once the key is deleted; the caller sees to it that nobody deletes such a key while the write may be on its way, or
+ * puts it under a lease, which ends before its keys.
  */
 struct MarkedWrite {
     Transaction m_transaction;
--- a/src/store_etcd.cpp
+++ b/src/store_etcd.cpp
@@ -22,15 +22,21 @@
 constexpr size_t MaxAnswerBytes = 64 * 1024 * 1024;
 constexpr size_t MaxWatchLineBytes = 16 * 1024 * 1024;
 constexpr size_t MaxIdleConnections = 16; ///< per endpoint
+constexpr seconds MaxIdleAge{2}; ///< an older connection may be closed or silent, and a write on it would be uncertain
 constexpr milliseconds StopPoll{50}; ///< a stop that meets a connection between two states is repeated
 constexpr int GrpcOutOfRange = 11; ///< the gateway's code for a compacted revision
 constexpr int GrpcNotFound = 5;
 
+struct IdleConnection {
+    std::unique_ptr<httplib::Client> m_client;
+    TimePoint m_since;
+};
+
 /** Idle connections to one endpoint. */
 struct Endpoint {
     Address m_address;
     std::mutex m_mutex;
-    std::vector<std::unique_ptr<httplib::Client>> m_idle; ///< guarded by m_mutex
+    std::vector<IdleConnection> m_idle; ///< guarded by m_mutex
 };
 
 struct Gateway {
@@ -39,12 +45,13 @@
     std::atomic<size_t> m_preferred = 0; ///< the endpoint that answered last
 };
 
-std::unique_ptr<httplib::Client> takeConnection(Endpoint &endpoint)
+std::unique_ptr<httplib::Client> takeConnection(Endpoint &endpoint, TimePoint now)
 {
     {
         const std::lock_guard lock(endpoint.m_mutex);
+        std::erase_if(endpoint.m_idle, [now](const IdleConnection &idle) { return now - idle.m_since > MaxIdleAge; });
         if (!endpoint.m_idle.empty()) {
-            std::unique_ptr<httplib::Client> client = std::move(endpoint.m_idle.back());
+            std::unique_ptr<httplib::Client> client = std::move(endpoint.m_idle.back().m_client);
             endpoint.m_idle.pop_back();
             return client;
         }
@@ -55,11 +62,11 @@
     return client;
 }
 
-void returnConnection(Endpoint &endpoint, std::unique_ptr<httplib::Client> client)
+void returnConnection(Endpoint &endpoint, std::unique_ptr<httplib::Client> client, TimePoint now)
 {
     const std::lock_guard lock(endpoint.m_mutex);
     if (endpoint.m_idle.size() < MaxIdleConnections) {
-        endpoint.m_idle.push_back(std::move(client));
+        endpoint.m_idle.push_back({std::move(client), now});
     }
 }
 
@@ -252,7 +259,7 @@
     if (left <= Duration::zero()) {
         return absl::UnavailableError("no time is left for the call");
     }
-    std::unique_ptr<httplib::Client> client = takeConnection(endpoint);
+    std::unique_ptr<httplib::Client> client = takeConnection(endpoint, now(clock));
     client->set_connection_timeout(std::min(options.m_connectTimeout, left));
     client->set_read_timeout(left);
     client->set_write_timeout(left);
@@ -270,7 +277,7 @@
     if (!result) {
         return statusOfFailure(result.error());
     }
-    returnConnection(endpoint, std::move(client));
+    returnConnection(endpoint, std::move(client), now(clock));
     if (result->status != 200) {
         return statusOfRefusal(result->status, answer);
     }
