--- a/src/core.h
+++ b/src/core.h
@@ -430,13 +430,15 @@
         if (existing != end()) {
             return {existing, false};
         }
-        return {insert(lower_bound(key), std::move(key), std::move(value)), true};
+        const const_iterator position = lower_bound(key);
+        return {insert(position, std::move(key), std::move(value)), true};
     }
     std::pair<const_iterator, bool> insert_or_assign(std::string key, Value value)
     {
         const const_iterator existing = find(key);
         if (existing == end()) {
-            return {insert(lower_bound(key), std::move(key), std::move(value)), true};
+            const const_iterator position = lower_bound(key);
+            return {insert(position, std::move(key), std::move(value)), true};
         }
         own(existing.m_slot)[existing.m_index].second = std::move(value);
         return {existing, false};
