--- a/src/cluster.h
+++ b/src/cluster.h
@@ -459,6 +459,13 @@
     int64_t m_cursor = 0;
 };
 
+/** A notice to forward as soon as the change it announces is held. */
+struct PendingNotice {
+    SpreadHeader m_spread;
+    int64_t m_cursor = 0;
+    Address m_sender;
+};
+
 /** Work counted by the state machine. */
 struct ClusterCounters {
     uint64_t m_probes = 0;
@@ -479,6 +486,7 @@
 enum class SpreadMode : uint8_t {
     Tree, ///< content down the tree, cursor in heartbeats, pull of what is missing
     NoticeAndPull, ///< a notice without content down the tree, then a pull
+    FullCopies, ///< all objects down the tree with each change
 };
 
 /** State of one node. Every container has a bound. */
@@ -514,10 +522,12 @@
     std::map<uint64_t, VerdictRecord> m_verdicts; ///< by content hash
     std::vector<StaggeredChange> m_staggered;
     std::vector<RevisionRange> m_ranges; ///< applied above the cursor
+    int64_t m_treeCursor = 0; ///< highest cursor of a change received or sent down the tree
     int64_t m_highestCursor = 0; ///< seen at any peer
     Address m_highestPeer;
-    TimePoint m_pullAt{}; ///< when m_highestCursor is above the own cursor
-    bool m_pullPending = false; ///< a pull was sent
+    int64_t m_pullTarget = 0; ///< a pull is due when this is still above the own cursor at m_pullAt
+    TimePoint m_pullAt{};
+    std::vector<PendingNotice> m_notices; ///< SpreadMode::NoticeAndPull only
     ClusterCounters m_counters;
 };
 
