--- a/src/durable.h
+++ b/src/durable.h
@@ -773,6 +773,7 @@
     std::string m_pool;
     double m_replicas = 0; ///< replicas that the load needs, as a fraction
     int64_t m_minimum = 1; ///< from the configuration
+    double m_prefillShare = 0; ///< share of the replicas with role Prefill, the others Decode; 0: all Mixed
 
     bool operator==(const ModelDemand &) const = default;
 };
@@ -815,7 +816,6 @@
     std::string m_node;
     int64_t m_fence = 0; ///< 0: this node does not act for the group
     WriteTracker m_write;
-    bool m_releasing = false;
     std::map<std::string, TimePoint> m_givenAt; ///< order text -> last time given
     TimePoint m_nextLoad;
     TimePoint m_nextTake;
