--- a/src/durable.h
+++ b/src/durable.h
@@ -815,6 +815,7 @@
     std::string m_group;
     std::string m_node;
     int64_t m_fence = 0; ///< 0: this node does not act for the group
+    int64_t m_lastFence = 0; ///< own revision before stepping down; found again, it is resumed
     WriteTracker m_write;
     std::map<std::string, TimePoint> m_givenAt; ///< order text -> last time given
     TimePoint m_nextLoad;
@@ -828,7 +829,7 @@
 };
 
 std::string ordersOwnerKey(const std::string &group);
-/** As for claims: takes an absent owner key when preferred, steps down when the revision is another one. */
+/** Takes an absent owner key when preferred; steps down when the revision is not the own one. */
 OrderActions ordersObserved(OrderState &state, int64_t revision, bool preferred, const DurableTime &time, Random &random);
 OrderActions storeAnswered(OrderState &state, const StoreOutcome &outcome, const DurableTime &time, Random &random);
 OrderActions rangeAnswered(OrderState &state, const StoreRange &range, const DurableTime &time, Random &random);
--- a/src/durable_orders.cpp
+++ b/src/durable_orders.cpp
@@ -271,6 +271,7 @@
 
 void stepDown(OrderState &state, const DurableTime &time, OrderActions &actions)
 {
+    state.m_lastFence = state.m_fence;
     state.m_fence = 0;
     state.m_write = WriteTracker{};
     state.m_givenAt.clear();
@@ -336,6 +337,10 @@
     if (state.m_fence != 0 && revision != state.m_fence) {
         stepDown(state, time, actions);
     }
+    // A read that is older than the take shows the key as absent; a later one shows that it is still held.
+    if (state.m_fence == 0 && revision != 0 && revision == state.m_lastFence) {
+        state.m_fence = revision;
+    }
     if (state.m_fence != 0 || isBusy(state.m_write) || revision != 0 || !preferred || time.m_now < state.m_nextTake) {
         return actions;
     }
