--- a/tests/test_batch.cpp
+++ b/tests/test_batch.cpp
@@ -411,7 +411,8 @@
     void resultsStayUntilFetchedOrExpired()
     {
         FetchTracker tracker;
-        const Identifier group = makeMark({TimePoint{}, BatchWall}, *std::make_unique<Random>(Random{1}));
+        Random random{1};
+        const Identifier group = makeMark({TimePoint{}, BatchWall}, random);
         CPPUNIT_ASSERT(!resultFetched(tracker, {group, 0}, 2));
         CPPUNIT_ASSERT(!resultFetched(tracker, {group, 0}, 2));
         CPPUNIT_ASSERT(resultFetched(tracker, {group, 1}, 2));
