--- a/bench/virtual_cluster.cpp
+++ b/bench/virtual_cluster.cpp
@@ -172,7 +172,7 @@
         changes.m_objects.push_back(cluster.m_store[static_cast<size_t>(revision - 1)].m_object);
     }
     node.m_watchCursor = head;
-    feed(cluster, node.m_index, WatchEvent{std::move(changes)});
+    feed(cluster, node.m_index, StoreChangesEvent{std::move(changes)});
 }
 
 void scheduleWatch(VirtualCluster &cluster, VirtualNode &node)
@@ -209,9 +209,9 @@
     schedule(cluster, cluster.m_now + TickInterval, [&cluster, &node, generation] { tickNode(cluster, node, generation); });
 }
 
-ConfigAccess makeAccess(VirtualCluster &cluster, VirtualNode &node)
+ConfigHolder makeAccess(VirtualCluster &cluster, VirtualNode &node)
 {
-    ConfigAccess access;
+    ConfigHolder access;
     access.m_cursor = [&node] { return node.m_config.m_cursor; };
     access.m_changesSince = [&node](int64_t cursor, size_t maxBytes) { return readConfig(node.m_config, cursor, maxBytes); };
     access.m_apply = [&cluster, &node](const ConfigChanges &changes) { applyConfig(cluster, node, changes); };
--- a/bench/virtual_cluster.h
+++ b/bench/virtual_cluster.h
@@ -53,7 +53,7 @@
     Codec m_codec;
     Random m_random;
     VirtualConfig m_config;
-    ConfigAccess m_access;
+    ConfigHolder m_access;
     int64_t m_watchCursor = 0;
     bool m_watching = false;
     std::vector<std::pair<Channel, std::string>> m_backlog; ///< arrived while paused
--- a/src/entry_pools.cpp
+++ b/src/entry_pools.cpp
@@ -421,34 +421,6 @@
 
 namespace {
 
-LimitSignal limitSignal(const AttemptVerdict &verdict)
-{
-    switch (verdict.m_reason) {
-    case Reason::None:
-        return LimitSignal::Success;
-    case Reason::UpstreamOverloaded:
-        return LimitSignal::Rejected;
-    case Reason::AttemptTimeout:
-    case Reason::ConnectionLost:
-    case Reason::ConnectFailed:
-        return LimitSignal::Failed;
-    default:
-        return LimitSignal::Ignored;
-    }
-}
-
-bool countsAsFailure(Reason reason)
-{
-    return reason == Reason::ConnectFailed || reason == Reason::ConnectionLost || reason == Reason::UpstreamError
-        || reason == Reason::AttemptTimeout || reason == Reason::StreamTruncated;
-}
-
-/** The part of an attempt's time that is comparable between requests. */
-Duration comparableTime(const AttemptResult &result)
-{
-    return result.m_firstToken.value_or(result.m_duration);
-}
-
 void observePresence(ReplicaEntry &entry, const AttemptEvidence &evidence, const AttemptVerdict &verdict, TimePoint now)
 {
     if (evidence.m_leaving) {
@@ -537,11 +509,11 @@
     assert(entry.m_open > 0);
     --entry.m_open;
     observeLoad(entry, result);
-    observeSample(entry.m_limit, pool.m_limitSettings, {limitSignal(verdict), comparableTime(result), open}, now);
+    observeSample(entry.m_limit, pool.m_limitSettings, {limitSignal(verdict), result.m_duration, open}, now);
     observePresence(entry, result.m_evidence, verdict, now);
-    const bool failed = countsAsFailure(verdict.m_reason);
+    const bool failed = isReplicaFailure(verdict);
     if (failed || verdict.m_outcome == Outcome::Answered) {
-        const bool ejected = observeHealth(pool.m_health, index, {failed, comparableTime(result)}, pools.m_outliers, now);
+        const bool ejected = observeHealth(pool.m_health, index, {failed, result.m_duration}, pools.m_outliers, now);
         if (ejected) {
             countDrop(*pools.m_metrics, Reason::OutlierEjected);
             writeLog(LogLevel::Warning,
