--- a/src/entry_admin.cpp
+++ b/src/entry_admin.cpp
@@ -342,19 +342,23 @@
     return object;
 }
 
-/** Names fields only: their values may be private to an organisation. */
+/**
+ * Names fields only: their values may be private to an organisation. The sentence carries the revision, because the log
+ * leaves out equal sentences and no change may be left out.
+ */
 void logEdit(const AdminCredential &who, const ConfigEdit &edit, int64_t revision, const std::vector<std::string> &fields)
 {
     const std::vector<std::string> shown(fields.begin(),
                                          fields.begin() + static_cast<std::ptrdiff_t>(std::min(fields.size(), MaxLoggedFields)));
-    writeLog(LogLevel::Info,
-             "admin",
-             fmt::format("{} {} '{}'", edit.m_object ? "put" : "deleted", toString(edit.m_name.m_kind), edit.m_name.m_name),
-             {{"by", who.m_name},
-              {"revision", std::to_string(revision)},
-              {"previous", std::to_string(edit.m_expectedRevision)},
-              {"fields", fmt::format("{}", fmt::join(shown, ","))},
-              {"more_fields", std::to_string(fields.size() - shown.size())}});
+    writeLog(
+        LogLevel::Info,
+        "admin",
+        fmt::format(
+            "{} {} '{}' at revision {}", edit.m_object ? "put" : "deleted", toString(edit.m_name.m_kind), edit.m_name.m_name, revision),
+        {{"by", who.m_name},
+         {"previous", std::to_string(edit.m_expectedRevision)},
+         {"fields", fmt::format("{}", fmt::join(shown, ","))},
+         {"more_fields", std::to_string(fields.size() - shown.size())}});
 }
 
 AdminAnswer conflictAnswer(const AdminContext &context, const ConfigEdit &edit, const EditAnswer &result)
