--- a/src/cluster.h
+++ b/src/cluster.h
@@ -495,6 +495,7 @@
     SpreadMode m_mode = SpreadMode::Tree;
     std::map<Address, MemberRecord> m_records; ///< all other members, at most MaxMembers
     uint64_t m_digest = 0; ///< of the live members, with this node
+    size_t m_suspects = 0; ///< number of suspected members in m_records
     uint64_t m_heard = 0; ///< messages received
     TimePoint m_lastHeard{}; ///< from any peer
     TimePoint m_lastTick{};
--- a/src/cluster_internal.h
+++ b/src/cluster_internal.h
@@ -29,6 +29,9 @@
 Heartbeat makeHeartbeat(ClusterState &state, EventContext &context);
 int64_t ownCursor(const EventContext &context);
 
+/** configWatchers() for the region of this node. */
+std::vector<Address> ownRegionWatchers(const ClusterState &state);
+
 // Spread
 /** Sends @p body to all live members, or to those of the own region, down a tree rooted here. */
 void startSpread(ClusterState &state, const MessageBody &body, uint64_t identifier, bool regional, EventContext &context);
--- a/src/cluster_membership.cpp
+++ b/src/cluster_membership.cpp
@@ -24,6 +24,7 @@
 constexpr seconds StableTime{3}; ///< without a change, before differing views are compared
 constexpr milliseconds AnnounceDelay{50}; ///< collects changes into one message
 constexpr Duration AnnounceDelayPerMember{300}; ///< spreads announcements of a large event, so that later ones see the earlier
+constexpr Duration JoinDelayPerMember{3'000}; ///< a join is less urgent, and all nodes may start at once
 
 MemberRecord *findRecord(ClusterState &state, const Address &address)
 {
@@ -67,10 +68,34 @@
         + member.m_failureDomain.size();
 }
 
-void addGossip(ClusterState &state, const Address &address)
+/** How an entry reached this node, which tells who may still lack it. */
+enum class Source : uint8_t {
+    Peer, ///< a heartbeat or the node itself
+    Tree, ///< sent to all; gossip only repairs losses
+    WholeView, ///< others compare whole views too, and gossip of hundreds of entries would take minutes
+};
+
+int gossipTransmissions(const ClusterState &state, Source source)
+{
+    constexpr int TreeRepairs = 3;
+    switch (source) {
+    case Source::Peer:
+        return 2 + static_cast<int>(std::bit_width(state.m_records.size() + 1));
+    case Source::Tree:
+        return TreeRepairs;
+    case Source::WholeView:
+        break;
+    }
+    return 0;
+}
+
+void addGossip(ClusterState &state, const Address &address, Source source = Source::Peer)
 {
     std::erase_if(state.m_gossip, [&address](const GossipItem &item) { return item.m_address == address; });
-    const int transmissions = 2 + static_cast<int>(std::bit_width(state.m_records.size() + 1));
+    const int transmissions = gossipTransmissions(state, source);
+    if (transmissions == 0) {
+        return;
+    }
     state.m_gossip.insert(state.m_gossip.begin(), GossipItem{address, transmissions});
     if (state.m_gossip.size() > MaxGossip) {
         state.m_gossip.pop_back();
@@ -78,11 +103,11 @@
 }
 
 /** Plans a tree for a change of which this node is the origin. */
-void announce(ClusterState &state, const Address &address, EventContext &context)
+void announce(ClusterState &state, const Address &address, EventContext &context, Duration delayPerMember = AnnounceDelayPerMember)
 {
     addGossip(state, address);
     if (state.m_announce.empty()) {
-        const Duration window = AnnounceDelay + AnnounceDelayPerMember * static_cast<int64_t>(state.m_records.size());
+        const Duration window = AnnounceDelay + delayPerMember * static_cast<int64_t>(state.m_records.size());
         state.m_announceAt = context.m_now + jitter(context.m_random, window);
     }
     const bool isKnown = std::find(state.m_announce.begin(), state.m_announce.end(), address) != state.m_announce.end();
@@ -204,7 +229,7 @@
 }
 
 /** Stores a new version of an entry. */
-void storeMember(ClusterState &state, const Member &member, EventContext &context)
+void storeMember(ClusterState &state, const Member &member, Source source, EventContext &context)
 {
     MemberRecord *known = findRecord(state, member.m_address);
     const std::optional<MemberEvent> event = eventOf(known, member);
@@ -218,6 +243,8 @@
     }
     const bool isSameBoot = known->m_member.m_boot == member.m_boot;
     const int64_t cursor = isSameBoot ? std::max(known->m_member.m_cursor, member.m_cursor) : member.m_cursor;
+    state.m_suspects -= known->m_member.m_state == MemberState::Suspect ? 1 : 0;
+    state.m_suspects += member.m_state == MemberState::Suspect ? 1 : 0;
     known->m_member = member;
     known->m_member.m_cursor = cursor;
     known->m_changedAt = context.m_now;
@@ -225,14 +252,14 @@
     known->m_detectedHere = false;
     toggleDigest(state, known->m_member);
     state.m_viewChangedAt = context.m_now;
-    addGossip(state, member.m_address);
+    addGossip(state, member.m_address, source);
     if (event) {
         context.m_actions.m_changes.push_back({*event, known->m_member});
     }
 }
 
 /** Merges an entry that a peer sent. */
-void mergeMember(ClusterState &state, Member member, EventContext &context)
+void mergeMember(ClusterState &state, Member member, Source source, EventContext &context)
 {
     if (member.m_address == state.m_self.m_address) {
         considerOwnEntry(state, member.m_boot, member.m_incarnation, member.m_state, context);
@@ -241,7 +268,7 @@
     MemberRecord *known = findRecord(state, member.m_address);
     if (!known) {
         if (isLive(member)) {
-            storeMember(state, member, context);
+            storeMember(state, member, source, context);
         }
         return;
     }
@@ -251,7 +278,7 @@
         member.m_state = MemberState::Suspect;
     }
     if (supersedes(member, known->m_member)) {
-        storeMember(state, member, context);
+        storeMember(state, member, source, context);
     } else if (member.m_boot == known->m_member.m_boot) {
         known->m_member.m_cursor = std::max(known->m_member.m_cursor, member.m_cursor);
     }
@@ -375,7 +402,7 @@
 {
     Member member = record.m_member;
     member.m_state = MemberState::Suspect;
-    storeMember(state, member, context);
+    storeMember(state, member, Source::Peer, context);
     record.m_detectedHere = true;
     ++state.m_counters.m_suspicions;
     announce(state, member.m_address, context);
@@ -426,6 +453,9 @@
 
 void expireSuspicions(ClusterState &state, EventContext &context)
 {
+    if (state.m_suspects == 0) {
+        return;
+    }
     std::vector<Address> due;
     for (const auto &[address, record] : state.m_records) {
         if (record.m_member.m_state == MemberState::Suspect && context.m_now >= record.m_suspectUntil) {
@@ -444,7 +474,7 @@
         const bool detectedHere = record.m_detectedHere;
         Member member = record.m_member;
         member.m_state = MemberState::Failed;
-        storeMember(state, member, context);
+        storeMember(state, member, Source::Peer, context);
         ++state.m_counters.m_failures;
         if (detectedHere) {
             announce(state, address, context);
@@ -584,7 +614,7 @@
 void receiveHeartbeat(ClusterState &state, const PeerMessage &message, const Heartbeat &heartbeat, EventContext &context)
 {
     for (const Member &member : heartbeat.m_members) {
-        mergeMember(state, member, context);
+        mergeMember(state, member, Source::Peer, context);
     }
     for (const CrashVerdict &verdict : heartbeat.m_verdicts) {
         receiveVerdict(state, verdict, context);
@@ -652,7 +682,7 @@
 void receivePull(ClusterState &state, const PeerMessage &message, const MembershipPull &pull, EventContext &context)
 {
     if (pull.m_self.m_address == message.m_sender && pull.m_self.m_boot == message.m_boot) {
-        mergeMember(state, pull.m_self, context);
+        mergeMember(state, pull.m_self, Source::Peer, context);
     }
     Membership answer;
     answer.m_complete = true;
@@ -698,11 +728,20 @@
     }
 }
 
+Source sourceOf(const Membership &membership)
+{
+    if (membership.m_complete) {
+        return Source::WholeView;
+    }
+    return membership.m_spread.m_identifier == 0 ? Source::Peer : Source::Tree;
+}
+
 void receiveMembership(ClusterState &state, const PeerMessage &message, const Membership &membership, EventContext &context)
 {
     const bool wasAlone = liveCount(state) == 1;
+    const Source source = sourceOf(membership);
     for (const Member &member : membership.m_members) {
-        mergeMember(state, member, context);
+        mergeMember(state, member, source, context);
     }
     for (const CrashVerdict &verdict : membership.m_verdicts) {
         receiveVerdict(state, verdict, context);
@@ -715,7 +754,7 @@
         return;
     }
     if (wasAlone) {
-        announce(state, state.m_self.m_address, context);
+        announce(state, state.m_self.m_address, context, JoinDelayPerMember);
     }
     recheckFailed(state, membership.m_members, context);
     sendMissing(state, message.m_sender, membership.m_members, context);
@@ -908,7 +947,7 @@
         // A node that knows seeds waits for their answer, so that many nodes started at once do not all read the store.
         return state.m_seeds.empty();
     }
-    const std::vector<Address> watchers = configWatchers(liveMembers(state), state.m_self.m_region);
+    const std::vector<Address> watchers = ownRegionWatchers(state);
     return std::find(watchers.begin(), watchers.end(), state.m_self.m_address) != watchers.end();
 }
 
--- a/src/cluster_spread.cpp
+++ b/src/cluster_spread.cpp
@@ -190,7 +190,7 @@
  */
 size_t watcherRank(const ClusterState &state, int64_t cursor)
 {
-    const std::vector<Address> watchers = configWatchers(liveMembers(state), state.m_self.m_region);
+    const std::vector<Address> watchers = ownRegionWatchers(state);
     const auto found = std::find(watchers.begin(), watchers.end(), state.m_self.m_address);
     if (found == watchers.end()) {
         return watchers.size();
@@ -295,6 +295,26 @@
     context.m_actions.m_verdicts.push_back({verdict.m_contentHash, remaining});
 }
 
+using ScoredAddress = std::pair<uint64_t, Address>;
+
+void addScore(const Member &member, const std::string &region, std::vector<ScoredAddress> &scored)
+{
+    if (isLive(member) && member.m_region == region && member.m_readiness != Readiness::Draining) {
+        scored.emplace_back(combineHash(addressHash(member.m_address), hash64(region)), member.m_address);
+    }
+}
+
+std::vector<Address> bestScores(std::vector<ScoredAddress> scored)
+{
+    const size_t count = std::min(scored.size(), ConfigWatchersPerRegion);
+    std::partial_sort(scored.begin(), scored.begin() + static_cast<std::ptrdiff_t>(count), scored.end(), std::greater<>());
+    std::vector<Address> watchers;
+    for (size_t i = 0; i < count; ++i) {
+        watchers.push_back(scored[i].second);
+    }
+    return watchers;
+}
+
 } // namespace
 
 //-----------------------------------------------------------------------------
@@ -303,20 +323,21 @@
 
 std::vector<Address> configWatchers(const Members &members, const std::string &region)
 {
-    std::vector<std::pair<uint64_t, Address>> scored;
-    const uint64_t seed = hash64(region);
+    std::vector<ScoredAddress> scored;
     for (const Member &member : members) {
-        if (isLive(member) && member.m_region == region && member.m_readiness != Readiness::Draining) {
-            scored.emplace_back(combineHash(addressHash(member.m_address), seed), member.m_address);
-        }
+        addScore(member, region, scored);
     }
-    const size_t count = std::min(scored.size(), ConfigWatchersPerRegion);
-    std::partial_sort(scored.begin(), scored.begin() + static_cast<std::ptrdiff_t>(count), scored.end(), std::greater<>());
-    std::vector<Address> watchers;
-    for (size_t i = 0; i < count; ++i) {
-        watchers.push_back(scored[i].second);
+    return bestScores(std::move(scored));
+}
+
+std::vector<Address> ownRegionWatchers(const ClusterState &state)
+{
+    std::vector<ScoredAddress> scored;
+    addScore(state.m_self, state.m_self.m_region, scored);
+    for (const auto &[address, record] : state.m_records) {
+        addScore(record.m_member, state.m_self.m_region, scored);
     }
-    return watchers;
+    return bestScores(std::move(scored));
 }
 
 bool isInRing(const Address &address, const Address &begin, const Address &end)
