--- a/src/durable.h
+++ b/src/durable.h
@@ -101,6 +101,7 @@
     std::string m_prefix; ///< used when m_keys is empty
     std::string m_from; ///< first key of the page; empty: the start of the prefix
     int64_t m_limit = 0; ///< most keys of the page
+    bool m_keysOnly = false; ///< leave the values out
 
     bool operator==(const StoreRead &) const = default;
 };
@@ -622,7 +623,7 @@
 
 std::string encodeProgress(const std::vector<ProgressEntry> &entries);
 absl::StatusOr<std::vector<ProgressEntry>> decodeProgress(const std::string &body);
-/** Groups without an owner key. Takes the items under groupPrefix() and groupOwnerPrefix(). */
+/** Groups without an owner key. Takes the items under groupPrefix() and groupOwnerPrefix(), read with m_keysOnly. */
 std::vector<Identifier> groupsToTake(const std::vector<StoreItem> &groups, const std::vector<StoreItem> &owners);
 /** Adds a chunk to the state of the jobs. The first result of a job stays. */
 void applyProgress(std::vector<JobProgress> &jobs, const std::vector<ProgressEntry> &entries);
--- a/src/durable_store.cpp
+++ b/src/durable_store.cpp
@@ -62,7 +62,7 @@
 {
     tracker.m_phase = TrackerPhase::ReadBack;
     tracker.m_readTag = makeMark(time, random);
-    actions.m_reads.push_back({tracker.m_readTag, readBackKeys(tracker.m_write), "", "", 0});
+    actions.m_reads.push_back({tracker.m_readTag, readBackKeys(tracker.m_write), "", "", 0, false});
 }
 
 void waitForNextTry(WriteTracker &tracker, const DurableTime &time, Random &random)
