Give back keys that a late copy of a take leaves behind

Owner keys that name this process although it does not hold them are now deleted (claims, batch) or acted under (orders).

--- a/bench/durable_measure.cpp
+++ b/bench/durable_measure.cpp
@@ -355,7 +355,7 @@
     run.m_store.m_keys.erase(ownerKey(partition));
     const DurableTime time = timeOf(run.m_simulation);
     const auto started = std::chrono::steady_clock::now();
-    OwnerActions actions = ownerObserved(owner, 0, true, time, random);
+    OwnerActions actions = ownerObserved(owner, std::nullopt, true, time, random);
     actions = storeAnswered(owner, transact(run.m_store, actions.m_store.m_writes.at(0)), time, random);
     Duration total = run.m_scenario.m_store;
     int64_t reads = 0;
@@ -405,7 +405,7 @@
         run.m_timers.emplace_back();
     }
     for (size_t i = 0; i < run.m_owners.size(); ++i) {
-        carryOut(run, i, ownerObserved(run.m_owners[i], 0, true, timeOf(run.m_simulation), run.m_simulation.m_random));
+        carryOut(run, i, ownerObserved(run.m_owners[i], std::nullopt, true, timeOf(run.m_simulation), run.m_simulation.m_random));
     }
     runUntil(run.m_simulation, run.m_simulation.m_now + seconds(1));
     const int64_t writesBefore = run.m_store.m_writes;
@@ -600,7 +600,7 @@
     if (groups.empty()) {
         return;
     }
-    std::vector<Identifier> free = groupsToTake(groups, list(run.m_store, groupOwnerPrefix(), true));
+    std::vector<Identifier> free = groupsToTake(groups, list(run.m_store, groupOwnerPrefix(), false));
     // Nodes begin at different groups, so that they seldom try to take the same one.
     const size_t first = free.empty() ? 0 : uniformBelow(run.m_simulation.m_random, free.size());
     std::rotate(free.begin(), free.begin() + static_cast<ptrdiff_t>(first), free.end());
--- a/src/durable.h
+++ b/src/durable.h
@@ -328,7 +328,7 @@
 /** One partition on one node. */
 struct ClaimOwner {
     int m_partition = 0;
-    std::string m_node; ///< name of this node, written to the owner key
+    std::string m_node; ///< unique for this process (name and boot), written to the owner key
     std::string m_address; ///< peer address, written to the owner key
     OwnerPhase m_phase = OwnerPhase::Standby;
     int64_t m_epoch = 0; ///< revision of the owner key
@@ -401,10 +401,12 @@
 
 ClaimOwner makeClaimOwner(int partition, std::string node, std::string address);
 /**
- * What the owner key holds: its revision, or 0 when it is absent. With @p preferred this node takes
- * an absent key. A revision other than the own epoch makes a serving owner step down.
+ * What the owner key holds; nothing when it is absent. With @p preferred this node takes an absent key. A newer
+ * revision than the own epoch makes an owner step down. A key that names this process although it is not the owner
+ * comes from a copy of its write that arrived late; it is deleted, because nobody else would take the partition.
  */
-OwnerActions ownerObserved(ClaimOwner &owner, int64_t revision, bool preferred, const DurableTime &time, Random &random);
+OwnerActions
+ownerObserved(ClaimOwner &owner, const std::optional<StoreItem> &current, bool preferred, const DurableTime &time, Random &random);
 OwnerActions receiveClaim(ClaimOwner &owner, const ClaimRequest &request, const DurableTime &time, Random &random);
 OwnerActions receiveReport(ClaimOwner &owner, const ClaimReport &report, const DurableTime &time, Random &random);
 /** The process is gone for good; its claims without a result become unknown. */
@@ -623,8 +625,17 @@
 
 std::string encodeProgress(const std::vector<ProgressEntry> &entries);
 absl::StatusOr<std::vector<ProgressEntry>> decodeProgress(const std::string &body);
-/** Groups without an owner key. Takes the items under groupPrefix() and groupOwnerPrefix(), read with m_keysOnly. */
+/** Groups without an owner key. Takes the items under groupPrefix(), read with m_keysOnly, and groupOwnerPrefix(). */
 std::vector<Identifier> groupsToTake(const std::vector<StoreItem> &groups, const std::vector<StoreItem> &owners);
+/**
+ * Gives back groups that name this process although it does not run them: a copy of its take arrived late. To be
+ * called with what groupsToTake() was called with; a lost answer needs no care, because the next call repeats it.
+ */
+std::vector<StoreWrite> releaseOrphans(const std::vector<StoreItem> &owners,
+                                       std::string_view node,
+                                       const std::set<Identifier> &running,
+                                       const DurableTime &time,
+                                       Random &random);
 /** Adds a chunk to the state of the jobs. The first result of a job stays. */
 void applyProgress(std::vector<JobProgress> &jobs, const std::vector<ProgressEntry> &entries);
 
@@ -647,7 +658,7 @@
 /** One group on the node that took it. */
 struct BatchRunner {
     Identifier m_group;
-    std::string m_node;
+    std::string m_node; ///< unique for this process (name and boot)
     RunnerPhase m_phase = RunnerPhase::Taking;
     int64_t m_fence = 0; ///< revision of the owner key
     int64_t m_nextChunk = 0;
@@ -814,9 +825,8 @@
 /** Orders of the node that acts for one group of engines. */
 struct OrderState {
     std::string m_group;
-    std::string m_node;
+    std::string m_node; ///< unique for this process (name and boot)
     int64_t m_fence = 0; ///< 0: this node does not act for the group
-    int64_t m_lastFence = 0; ///< own revision before stepping down; found again, it is resumed
     WriteTracker m_write;
     std::map<std::string, TimePoint> m_givenAt; ///< order text -> last time given
     TimePoint m_nextLoad;
@@ -830,8 +840,12 @@
 };
 
 std::string ordersOwnerKey(const std::string &group);
-/** Takes an absent owner key when preferred; steps down when the revision is not the own one. */
-OrderActions ordersObserved(OrderState &state, int64_t revision, bool preferred, const DurableTime &time, Random &random);
+/**
+ * What the owner key holds; nothing when it is absent. Takes an absent key when preferred, acts under a key that names
+ * this process, and steps down in every other case.
+ */
+OrderActions
+ordersObserved(OrderState &state, const std::optional<StoreItem> &current, bool preferred, const DurableTime &time, Random &random);
 OrderActions storeAnswered(OrderState &state, const StoreOutcome &outcome, const DurableTime &time, Random &random);
 OrderActions rangeAnswered(OrderState &state, const StoreRange &range, const DurableTime &time, Random &random);
 OrderActions ordersTimer(OrderState &state, const DurableTime &time, Random &random);
--- a/src/durable_claims.cpp
+++ b/src/durable_claims.cpp
@@ -125,6 +125,20 @@
     startWrite(owner.m_write, std::move(write), time, actions.m_store);
 }
 
+void deleteIfOwn(ClaimOwner &owner, const StoreItem &current, const DurableTime &time, Random &random, OwnerActions &actions)
+{
+    const absl::StatusOr<OwnerRecord> record = parseOwnerRecord(current.m_value);
+    if (!record.ok() || record->m_node != owner.m_node) {
+        return;
+    }
+    StoreWrite write;
+    write.m_mark = makeMark(time, random);
+    write.m_compares = {{ownerKey(owner.m_partition), current.m_modRevision}};
+    write.m_deletes = {ownerKey(owner.m_partition)};
+    ++owner.m_writes;
+    startWrite(owner.m_write, std::move(write), time, actions.m_store);
+}
+
 /** Reads the watermark first, then the segments page by page. Nobody else can write them in this epoch. */
 void loadNext(ClaimOwner &owner, const DurableTime &time, Random &random, OwnerActions &actions)
 {
@@ -507,6 +521,10 @@
 
 void writeEnded(ClaimOwner &owner, const StoreOutcome &outcome, const DurableTime &time, Random &random, OwnerActions &actions)
 {
+    // In the standby phase the only write is the deletion of an owner key that arrived late.
+    if (owner.m_phase == OwnerPhase::Standby) {
+        return;
+    }
     if (outcome.m_result == WriteResult::NotApplied) {
         stepDown(owner, time, actions);
         return;
@@ -757,15 +775,21 @@
     return owner;
 }
 
-OwnerActions ownerObserved(ClaimOwner &owner, int64_t revision, bool preferred, const DurableTime &time, Random &random)
+OwnerActions
+ownerObserved(ClaimOwner &owner, const std::optional<StoreItem> &current, bool preferred, const DurableTime &time, Random &random)
 {
     OwnerActions actions;
     const bool holds = owner.m_phase == OwnerPhase::Loading || owner.m_phase == OwnerPhase::Serving;
-    if (holds && revision > owner.m_epoch) {
+    if (holds && current && current->m_modRevision > owner.m_epoch) {
         stepDown(owner, time, actions);
         return actions;
     }
-    if (owner.m_phase == OwnerPhase::Standby && revision == 0 && preferred && !owner.m_leaving && time.m_now >= owner.m_nextTake) {
+    if (owner.m_phase != OwnerPhase::Standby || isBusy(owner.m_write)) {
+        return actions;
+    }
+    if (current) {
+        deleteIfOwn(owner, *current, time, random, actions);
+    } else if (preferred && !owner.m_leaving && time.m_now >= owner.m_nextTake) {
         take(owner, time, random, actions);
     }
     return actions;
--- a/src/durable_orders.cpp
+++ b/src/durable_orders.cpp
@@ -271,7 +271,6 @@
 
 void stepDown(OrderState &state, const DurableTime &time, OrderActions &actions)
 {
-    state.m_lastFence = state.m_fence;
     state.m_fence = 0;
     state.m_write = WriteTracker{};
     state.m_givenAt.clear();
@@ -279,6 +278,20 @@
     actions.m_steppedDown = true;
 }
 
+bool isOwn(const OrderState &state, const StoreItem &current)
+{
+    const absl::StatusOr<std::string> body = bodyOf(current.m_value);
+    Findings findings;
+    const std::optional<nlohmann::json> value = body.ok() ? parseJson(*body, current.m_key, findings) : std::nullopt;
+    if (!value) {
+        return false;
+    }
+    ObjectReader reader = readObject(*value, current.m_key, "", findings);
+    std::string name;
+    readString(reader, "node", name, true);
+    return findings.empty() && name == state.m_node;
+}
+
 void takeEnded(OrderState &state, const StoreOutcome &outcome, const DurableTime &time)
 {
     if (outcome.m_result == WriteResult::Applied) {
@@ -331,17 +344,22 @@
     return fmt::format("orders/{}/owner", group);
 }
 
-OrderActions ordersObserved(OrderState &state, int64_t revision, bool preferred, const DurableTime &time, Random &random)
+OrderActions
+ordersObserved(OrderState &state, const std::optional<StoreItem> &current, bool preferred, const DurableTime &time, Random &random)
 {
     OrderActions actions;
+    const int64_t revision = current ? current->m_modRevision : 0;
     if (state.m_fence != 0 && revision != state.m_fence) {
         stepDown(state, time, actions);
     }
-    // A read that is older than the take shows the key as absent; a later one shows that it is still held.
-    if (state.m_fence == 0 && revision != 0 && revision == state.m_lastFence) {
-        state.m_fence = revision;
+    if (isBusy(state.m_write)) {
+        return actions;
+    }
+    if (current) {
+        state.m_fence = isOwn(state, *current) ? revision : 0;
+        return actions;
     }
-    if (state.m_fence != 0 || isBusy(state.m_write) || revision != 0 || !preferred || time.m_now < state.m_nextTake) {
+    if (!preferred || time.m_now < state.m_nextTake) {
         return actions;
     }
     const nlohmann::json body = {{"node", state.m_node}};
--- a/src/durable_runner.cpp
+++ b/src/durable_runner.cpp
@@ -428,6 +428,23 @@
     }
 }
 
+/** True for the owner key of a group that @p node took and that is not finished. */
+bool isOpenOwner(const StoreItem &owner, std::string_view node)
+{
+    const absl::StatusOr<std::string> body = bodyOf(owner.m_value);
+    Findings findings;
+    const std::optional<nlohmann::json> value = body.ok() ? parseJson(*body, owner.m_key, findings) : std::nullopt;
+    if (!value) {
+        return false;
+    }
+    ObjectReader reader = readObject(*value, owner.m_key, "", findings);
+    std::string name;
+    bool finished = false;
+    readString(reader, "node", name, true);
+    readBool(reader, "finished", finished);
+    return findings.empty() && name == node && !finished;
+}
+
 } // namespace
 
 std::string encodeProgress(const std::vector<ProgressEntry> &entries)
@@ -477,6 +494,28 @@
     return result;
 }
 
+std::vector<StoreWrite> releaseOrphans(const std::vector<StoreItem> &owners,
+                                       std::string_view node,
+                                       const std::set<Identifier> &running,
+                                       const DurableTime &time,
+                                       Random &random)
+{
+    std::vector<StoreWrite> writes;
+    for (const StoreItem &owner : owners) {
+        const std::string name = owner.m_key.substr(std::min(owner.m_key.size(), groupOwnerPrefix().size()));
+        const std::optional<Identifier> group = parseIdentifier(name);
+        if (!group || running.contains(*group) || !isOpenOwner(owner, node)) {
+            continue;
+        }
+        StoreWrite write;
+        write.m_mark = makeMark(time, random);
+        write.m_compares = {{owner.m_key, owner.m_modRevision}};
+        write.m_deletes = {owner.m_key};
+        writes.push_back(std::move(write));
+    }
+    return writes;
+}
+
 void applyProgress(std::vector<JobProgress> &jobs, const std::vector<ProgressEntry> &entries)
 {
     for (const ProgressEntry &entry : entries) {
--- a/tests/batch_world.h
+++ b/tests/batch_world.h
@@ -143,14 +143,6 @@
         });
 }
 
-inline std::optional<StoreItem> readItem(BatchWorld &world, const std::string &key)
-{
-    StoreRead read;
-    read.m_keys = {key};
-    const StoreRange range = readStore(world.m_store, read);
-    return range.m_items.empty() ? std::nullopt : std::optional(range.m_items.front());
-}
-
 inline void noteDurableStages(BatchWorld &world, const JobId &id, const JobProgress &progress)
 {
     if (!progress.m_stages.empty()) {
@@ -161,7 +153,7 @@
 /** A caller asks for its job; the group goes when every result has been fetched. */
 inline void fetch(BatchWorld &world, const JobId &id)
 {
-    const std::optional<StoreItem> group = readItem(world, groupKey(id.m_group));
+    const std::optional<StoreItem> group = readItem(world.m_store, groupKey(id.m_group));
     const std::vector<StoreItem> chunks = itemsWithPrefix(world.m_store, progressPrefix(id.m_group));
     const absl::StatusOr<JobView> view = viewJob(id, group, chunks);
     if (!view.ok()) {
@@ -194,11 +186,22 @@
 {
     const std::vector<StoreItem> groups = itemsWithPrefix(world.m_store, groupPrefix());
     const std::vector<StoreItem> owners = itemsWithPrefix(world.m_store, groupOwnerPrefix());
+    BatchNode &state = world.m_nodes[static_cast<size_t>(node)];
+    std::set<Identifier> running;
+    for (const auto &[group, runner] : state.m_runners) {
+        if (runner.m_phase < RunnerPhase::Finished) {
+            running.insert(group);
+        }
+    }
+    const std::string name = "node" + std::to_string(node);
+    for (const StoreWrite &write : releaseOrphans(owners, name, running, timeOf(world), world.m_random)) {
+        applyWrite(world.m_store, write, node);
+    }
     for (const Identifier &group : groupsToTake(groups, owners)) {
-        BatchRunner &runner = world.m_nodes[static_cast<size_t>(node)].m_runners[group];
+        BatchRunner &runner = state.m_runners[group];
         const bool idle = runner.m_node.empty() || runner.m_phase == RunnerPhase::Lost || runner.m_phase == RunnerPhase::Released;
         if (idle) {
-            carryOut(world, node, group, takeGroup(runner, group, "node" + std::to_string(node), timeOf(world), world.m_random));
+            carryOut(world, node, group, takeGroup(runner, group, name, timeOf(world), world.m_random));
         }
     }
 }
@@ -263,12 +266,8 @@
 inline void settle(BatchWorld &world, int ticks)
 {
     for (int i = 0; i < ticks; ++i) {
-        while (!world.m_schedule.m_pending.empty()) {
-            const PendingEvent event = world.m_schedule.m_pending.front();
-            world.m_schedule.m_pending.erase(world.m_schedule.m_pending.begin());
-            event.m_happen();
-        }
-        tick(world);
+        runPending(world.m_schedule);
+        passTime(world.m_schedule);
     }
 }
 
@@ -293,7 +292,7 @@
         }
     }
     for (const Identifier &group : world->m_deleted) {
-        if (readItem(*world, groupKey(group))) {
+        if (readItem(world->m_store, groupKey(group))) {
             return "a deleted group has come back";
         }
     }
--- a/tests/claim_world.h
+++ b/tests/claim_world.h
@@ -60,6 +60,7 @@
     PendingEvent event;
     event.m_happen = arrive;
     event.m_faults.push_back([] {}); // lost
+    event.m_faults.push_back([&world, arrive] { delay(world.m_schedule, arrive); });
     event.m_faults.push_back([&world, arrive] { // delivered twice
         world.m_schedule.m_pending.push_back({arrive, {}});
         arrive();
@@ -208,7 +209,7 @@
         lookUpOwner(world, node);
         const DurableTime time = timeOf(world, node);
         if (!world.m_storeDown) {
-            carryOut(world, node, ownerObserved(ownerOf(world, node), modRevision(world.m_store, ownerKey(0)), true, time, world.m_random));
+            carryOut(world, node, ownerObserved(ownerOf(world, node), readItem(world.m_store, ownerKey(0)), true, time, world.m_random));
         }
         carryOut(world, node, ownerTimer(ownerOf(world, node), time, world.m_random));
     }
@@ -267,24 +268,16 @@
 inline void settle(ClaimWorld &world, int ticks)
 {
     for (int i = 0; i < ticks; ++i) {
-        while (!world.m_schedule.m_pending.empty()) {
-            const PendingEvent event = world.m_schedule.m_pending.front();
-            world.m_schedule.m_pending.erase(world.m_schedule.m_pending.begin());
-            event.m_happen();
-        }
-        tick(world);
+        runPending(world.m_schedule);
+        passTime(world.m_schedule);
     }
 }
 
 /** Node 0 becomes the owner before the schedule begins. */
 inline void settleOwner(ClaimWorld &world)
 {
-    carryOut(world, 0, ownerObserved(ownerOf(world, 0), 0, true, timeOf(world, 0), world.m_random));
-    while (!world.m_schedule.m_pending.empty()) {
-        const PendingEvent event = world.m_schedule.m_pending.front();
-        world.m_schedule.m_pending.erase(world.m_schedule.m_pending.begin());
-        event.m_happen();
-    }
+    carryOut(world, 0, ownerObserved(ownerOf(world, 0), std::nullopt, true, timeOf(world, 0), world.m_random));
+    runPending(world.m_schedule);
 }
 
 /** What is wrong with the world; empty when every property holds. */
--- a/tests/explorer.h
+++ b/tests/explorer.h
@@ -7,6 +7,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -109,6 +110,15 @@
     return readStore(store, read).m_items;
 }
 
+inline std::optional<StoreItem> readItem(const MemoryStore &store, const std::string &key)
+{
+    const auto found = store.m_keys.find(key);
+    if (found == store.m_keys.end()) {
+        return std::nullopt;
+    }
+    return StoreItem{key, found->second.m_value, found->second.m_modRevision};
+}
+
 /** The lease of the node ends: its keys vanish, and late writes under it fail. */
 inline void expireLease(MemoryStore &store, int node)
 {
@@ -192,14 +202,50 @@
     std::vector<std::function<void()>> m_faults; ///< ways to go wrong, such as being lost
 };
 
+/** An event that is held up, as when its sender is paused or a link is slow. */
+struct DelayedEvent {
+    int m_ticks = 0; ///< left
+    std::function<void()> m_happen;
+};
+
+constexpr int DelayTicks = 6; ///< long enough for another node to take over
+
 /** Events on their way, and the faults that may strike at any time. */
 struct Schedule {
     std::vector<PendingEvent> m_pending;
+    std::vector<DelayedEvent> m_delayed;
     std::vector<std::function<void()>> m_disturbances; ///< a lease ends, a node dies
     std::function<void()> m_tick; ///< time passes and timers fire
     int m_faultsLeft = 2;
 };
 
+inline void delay(Schedule &schedule, std::function<void()> happen)
+{
+    schedule.m_delayed.push_back({DelayTicks, std::move(happen)});
+}
+
+/** Time passes, and what was held up long enough goes on its way. */
+inline void passTime(Schedule &schedule)
+{
+    for (DelayedEvent &event : schedule.m_delayed) {
+        if (--event.m_ticks == 0) {
+            schedule.m_pending.push_back({event.m_happen, {}});
+        }
+    }
+    std::erase_if(schedule.m_delayed, [](const DelayedEvent &event) { return event.m_ticks <= 0; });
+    schedule.m_tick();
+}
+
+/** Runs everything that is on its way, without faults. */
+inline void runPending(Schedule &schedule)
+{
+    while (!schedule.m_pending.empty()) {
+        const PendingEvent event = schedule.m_pending.front();
+        schedule.m_pending.erase(schedule.m_pending.begin());
+        event.m_happen();
+    }
+}
+
 /** Takes one step that the explorer chooses. Default: the oldest event, or time passes when there is none. */
 inline void step(Schedule &schedule, Explorer &explorer)
 {
@@ -212,7 +258,7 @@
     for (size_t i = 0; i < schedule.m_pending.size(); ++i) {
         options.push_back({static_cast<int>(i), schedule.m_pending[i].m_happen, false});
     }
-    options.push_back({-1, schedule.m_tick, false});
+    options.push_back({-1, [&schedule] { passTime(schedule); }, false});
     if (schedule.m_faultsLeft > 0) {
         for (size_t i = 0; i < schedule.m_pending.size(); ++i) {
             for (const auto &fault : schedule.m_pending[i].m_faults) {
@@ -254,10 +300,12 @@
         });
         // The request is lost.
         event.m_faults.push_back([answer, unknown] { answer(unknown); });
+        // The sender is paused, or the request is slow.
+        event.m_faults.push_back([&schedule, happen = event.m_happen] { delay(schedule, happen); });
         // The request arrives after its sender has given it up.
         event.m_faults.push_back([&schedule, &store, write, node, lease, answer, unknown] {
             answer(unknown);
-            schedule.m_pending.push_back({[&store, write, node, lease] { applyWrite(store, write, node, lease); }, {}});
+            delay(schedule, [&store, write, node, lease] { applyWrite(store, write, node, lease); });
         });
         schedule.m_pending.push_back(std::move(event));
     }
--- a/tests/test_claims.cpp
+++ b/tests/test_claims.cpp
@@ -41,8 +41,8 @@
 
 void observe(OwnerBench &bench)
 {
-    const int64_t revision = modRevision(bench.m_store, ownerKey(0));
-    carryOut(bench, ownerObserved(bench.m_owner, revision, true, bench.m_time, bench.m_random));
+    const std::optional<StoreItem> current = readItem(bench.m_store, ownerKey(0));
+    carryOut(bench, ownerObserved(bench.m_owner, current, true, bench.m_time, bench.m_random));
 }
 
 void advance(OwnerBench &bench, milliseconds by)
@@ -132,6 +132,7 @@
     CPPUNIT_TEST(lateGrantIsReleased);
     CPPUNIT_TEST(holderWaitsForTheOtherCall);
     CPPUNIT_TEST(leavingOwnerGivesThePartitionBack);
+    CPPUNIT_TEST(ownerKeyThatArrivesLateIsDeleted);
     CPPUNIT_TEST(leaseIsGivenUpBeforeTheStoreEndsIt);
     CPPUNIT_TEST(allSchedulesOfTwoNodes);
     CPPUNIT_TEST(randomSchedulesOfThreeNodes);
@@ -480,6 +481,23 @@
         CPPUNIT_ASSERT_EQUAL(size_t(1), bench.m_acks.size());
     }
 
+    // Guards against a partition that nobody serves, because a late copy of a take left a key of a node that gave up.
+    void ownerKeyThatArrivesLateIsDeleted()
+    {
+        OwnerBench late;
+        late.m_hold = true;
+        carryOut(late, ownerObserved(late.m_owner, std::nullopt, true, late.m_time, late.m_random));
+        carryOut(late, storeAnswered(late.m_owner, {late.m_unsent[0].m_mark, WriteResult::NotApplied, 0}, late.m_time, late.m_random));
+        CPPUNIT_ASSERT(late.m_owner.m_phase == OwnerPhase::Standby);
+        late.m_hold = false;
+        applyWrite(late.m_store, late.m_unsent[0], 0);
+        observe(late);
+        CPPUNIT_ASSERT_EQUAL(int64_t(0), modRevision(late.m_store, ownerKey(0)));
+        advance(late, TakeoverRetry);
+        observe(late);
+        CPPUNIT_ASSERT(late.m_owner.m_phase == OwnerPhase::Serving);
+    }
+
     // Guards against a node that counts on its lease longer than the store does.
     void leaseIsGivenUpBeforeTheStoreEndsIt()
     {
--- a/tests/test_orders.cpp
+++ b/tests/test_orders.cpp
@@ -304,19 +304,20 @@
         const std::vector<ModelDemand> demand = {demandFor("m1", 1)};
         OrderState first = actingNode(0);
         OrderState second = actingNode(0);
-        const OrderActions taken = ordersObserved(first, 0, true, timeOf(fleet), random);
+        second.m_node = "b";
+        const OrderActions taken = ordersObserved(first, std::nullopt, true, timeOf(fleet), random);
         storeAnswered(first, applyWrite(store, taken.m_store.m_writes.at(0), 0), timeOf(fleet), random);
         CPPUNIT_ASSERT(first.m_fence > 0);
         expireLease(store, 0);
-        const OrderActions taken2 = ordersObserved(second, 0, true, timeOf(fleet), random);
+        const OrderActions taken2 = ordersObserved(second, std::nullopt, true, timeOf(fleet), random);
         storeAnswered(second, applyWrite(store, taken2.m_store.m_writes.at(0), 1), timeOf(fleet), random);
         CPPUNIT_ASSERT(second.m_fence > first.m_fence);
-        CPPUNIT_ASSERT(ordersObserved(first, second.m_fence, true, timeOf(fleet), random).m_steppedDown);
+        CPPUNIT_ASSERT(ordersObserved(first, readItem(store, ordersOwnerKey("llm")), true, timeOf(fleet), random).m_steppedDown);
         CPPUNIT_ASSERT(act(fleet, first, demand).empty());
         // A read that is older than its own take makes the holder step down; a later one resumes it.
         const int64_t fence = second.m_fence;
-        CPPUNIT_ASSERT(ordersObserved(second, 0, true, timeOf(fleet), random).m_steppedDown);
-        ordersObserved(second, fence, true, timeOf(fleet), random);
+        CPPUNIT_ASSERT(ordersObserved(second, std::nullopt, true, timeOf(fleet), random).m_steppedDown);
+        ordersObserved(second, readItem(store, ordersOwnerKey("llm")), true, timeOf(fleet), random);
         CPPUNIT_ASSERT_EQUAL(fence, second.m_fence);
     }
 
@@ -370,7 +371,7 @@
         Random random{1};
         const DurableTime time{TimePoint(seconds(1)), 1'800'000'000'000};
         OrderState state = actingNode(0);
-        const OrderActions taken = ordersObserved(state, 0, true, time, random);
+        const OrderActions taken = ordersObserved(state, std::nullopt, true, time, random);
         const StoreOutcome applied = applyWrite(store, taken.m_store.m_writes.at(0), 0);
         const OrderActions asked = storeAnswered(state, {applied.m_mark, WriteResult::Unknown, 0}, time, random);
         rangeAnswered(state, readStore(store, asked.m_store.m_reads.at(0)), time, random);
