Count the wait of later stages before a request costs anything

Batch runs that start close to their deadline timed out and were wasted: batch now needs three mean deviations of slack. A preempted request keeps its place in the queue, and a retry is routed even when the limits have shrunk.

--- a/bench/bench_policy.cpp
+++ b/bench/bench_policy.cpp
@@ -82,6 +82,13 @@
             run.m_figures.push_back({name + ".lost." + reason, static_cast<double>(result.m_losses[i]), "requests"});
         }
     }
+    for (size_t i = 0; i < result.m_batchLosses.size(); ++i) {
+        if (result.m_batchLosses[i] > 0) {
+            const std::string reason(toString(static_cast<Reason>(i)));
+            run.m_figures.push_back({name + ".batch_lost." + reason, static_cast<double>(result.m_batchLosses[i]), "requests"});
+        }
+    }
+    run.m_figures.push_back({name + ".batch_answered", static_cast<double>(result.m_batchAnswered), "requests"});
     constexpr const char *CauseNames[] = {"cancelled", "lost", "unanswered", "timed_out", "preempted"};
     for (size_t i = 0; i < result.m_wastedByCause.size(); ++i) {
         run.m_figures.push_back({name + ".wasted." + CauseNames[i], Percent * result.m_wastedByCause[i] / result.m_usedSeconds, "%"});
--- a/bench/bench_policy_simulation.cpp
+++ b/bench/bench_policy_simulation.cpp
@@ -84,7 +84,8 @@
     std::vector<Candidate> m_choice; ///< candidates of one decision
     AttemptBudget m_retries;
     AttemptBudget m_hedges;
-    DurationEstimate m_estimate; ///< attempts, divided by their cost
+    size_t m_openHedges = 0;
+    std::array<DurationEstimate, 2> m_estimates; ///< by class: attempts, divided by their cost
     AdmissionActions m_actions;
     size_t m_nextReplica = 0; ///< round robin
     TimePoint m_again; ///< next dispatch without another event
@@ -324,6 +325,7 @@
 {
     Attempt attempt = sim.m_attempts.at(attemptId);
     poolOf(sim, attempt).m_candidates[attempt.m_replica].m_open -= 1;
+    poolOf(sim, attempt).m_openHedges -= attempt.m_hedge ? 1 : 0;
     sim.m_attempts.erase(attemptId);
     const auto request = sim.m_requests.find(attempt.m_request);
     if (request != sim.m_requests.end()) {
@@ -348,6 +350,7 @@
     }
     if (request.m_class == RequestClass::Batch) {
         sim.m_result.m_batchAnswered += answered ? 1 : 0;
+        sim.m_result.m_batchLosses[static_cast<size_t>(reason)] += answered || request.m_spent == 0 ? 0 : 1;
     } else {
         sim.m_result.m_urgent += 1;
         sim.m_result.m_urgentAnswered += answered ? 1 : 0;
@@ -412,6 +415,11 @@
         // Every other replica was tried or is full: a replica tried before is better than none.
         pool.m_choice = pool.m_candidates;
     }
+    if (std::none_of(pool.m_choice.begin(), pool.m_choice.end(), usable)) {
+        for (size_t i = 0; i < pool.m_choice.size(); ++i) {
+            pool.m_choice[i].m_usable = acceptsNewWork(pool.m_presence[i], sim.m_now) && !isEjected(pool.m_health[i], sim.m_now);
+        }
+    }
     if (std::none_of(pool.m_choice.begin(), pool.m_choice.end(), usable)) {
         return std::nullopt;
     }
@@ -487,7 +495,7 @@
         observeReplica(pool.m_presence[attempt.m_replica], ReplicaEvent::RefusedConnection, sim.m_now);
     } else if (verdict.m_outcome == Outcome::Answered) {
         observeReplica(pool.m_presence[attempt.m_replica], ReplicaEvent::Answered, sim.m_now);
-        addSample(pool.m_estimate, latency);
+        addSample(pool.m_estimates[static_cast<size_t>(attempt.m_class)], latency);
     }
     const bool plainRouting = sim.m_scenario.m_routing != RoutingMode::Policy;
     if (plainRouting || signal == LimitSignal::Rejected) {
@@ -570,7 +578,13 @@
     const Duration elapsed = fromSeconds(toSeconds(sim.m_now - attempt.m_sent) / cost) + milliseconds(1);
     const bool idempotent = stageOf(sim, request).m_idempotent;
     const bool single = request.m_open.size() == 1;
-    if (single && decideHedge(pool.m_hedges, pool.m_estimate, idempotent, elapsed, request.m_deadline - sim.m_now, sim.m_hedgeSettings)) {
+    if (single
+        && decideHedge(pool.m_hedges,
+                       pool.m_estimates[static_cast<size_t>(attempt.m_class)],
+                       idempotent,
+                       elapsed,
+                       request.m_deadline - sim.m_now,
+                       sim.m_hedgeSettings)) {
         sim.m_result.m_hedges += 1;
         sendAttempt(sim, attempt.m_request, true);
     }
@@ -578,7 +592,7 @@
 
 Duration timeLimit(Simulation &sim, const EntryPool &pool, const SimulatedRequest &request)
 {
-    DurationEstimate scaled = pool.m_estimate;
+    DurationEstimate scaled = pool.m_estimates[static_cast<size_t>(request.m_class)];
     const double cost = costOf(request, request.m_fullWork);
     scaled.m_mean *= cost;
     scaled.m_deviation *= cost;
@@ -602,6 +616,7 @@
     const uint64_t attemptId = sim.m_nextId++;
     Attempt attempt{id, poolIndex, *replica, request.m_entry, request.m_class, sim.m_now, {}, request.m_work};
     attempt.m_hedge = hedge;
+    pool.m_openHedges += hedge ? 1 : 0;
     sim.m_attempts.emplace(attemptId, attempt);
     request.m_open.push_back(attemptId);
     request.m_tried.push_back(*replica);
@@ -618,7 +633,8 @@
     const Duration delay = networkDelay(sim, request.m_entry, sim.m_replicas[poolIndex][*replica]);
     schedule(sim, sim.m_now + delay, [&sim, attemptId]() { arriveAtReplica(sim, attemptId); });
     schedule(sim, sim.m_now + timeLimit(sim, pool, request), [&sim, attemptId]() { timeOut(sim, attemptId); });
-    const auto late = hedgeDelay(pool.m_estimate, stageOf(sim, request).m_idempotent, sim.m_hedgeSettings);
+    const auto late =
+        hedgeDelay(pool.m_estimates[static_cast<size_t>(request.m_class)], stageOf(sim, request).m_idempotent, sim.m_hedgeSettings);
     if (!hedge && late && request.m_class == RequestClass::Urgent) {
         const double cost = std::max(0.02, attempt.m_work / ReferenceWork);
         schedule(sim, sim.m_now + fromSeconds(toSeconds(*late) * cost), [&sim, attemptId]() { hedgeIfLate(sim, attemptId); });
@@ -664,7 +680,7 @@
 {
     EntryPool &pool = sim.m_entries[entry][poolIndex];
     updateCandidates(sim, pool);
-    dispatchRequests(pool.m_admission, poolCapacity(pool.m_candidates), sim.m_now, pool.m_actions);
+    dispatchRequests(pool.m_admission, poolCapacity(pool.m_candidates) - static_cast<double>(pool.m_openHedges), sim.m_now, pool.m_actions);
     const AdmissionActions actions = pool.m_actions;
     if (actions.m_again && (pool.m_again <= sim.m_now || *actions.m_again < pool.m_again)) {
         pool.m_again = *actions.m_again;
@@ -688,7 +704,11 @@
     Duration remaining{0};
     const std::vector<StageSpec> &stages = stagesOf(sim, request.m_class);
     for (size_t i = request.m_stage + 1; i < stages.size(); ++i) {
-        remaining += stages[i].m_service;
+        AdmissionRequest later;
+        later.m_class = request.m_class;
+        later.m_organisation = request.m_organisation;
+        later.m_weight = sim.m_deployment.m_organisations[request.m_organisation].m_weight;
+        remaining += stages[i].m_service + expectedWait(sim.m_entries[request.m_entry][stages[i].m_pool].m_admission, later);
     }
     return remaining;
 }
@@ -921,6 +941,7 @@
     sim.m_end = TimePoint{} + scenario.m_length;
     sim.m_modelPool = 0;
     sim.m_result.m_losses.resize(static_cast<size_t>(Reason::Count));
+    sim.m_result.m_batchLosses.resize(static_cast<size_t>(Reason::Count));
     sim.m_bySecond.resize(static_cast<size_t>(toSeconds(scenario.m_length)) + 1);
     buildPools(sim);
     scheduleFaults(sim);
--- a/bench/simulation.h
+++ b/bench/simulation.h
@@ -110,6 +110,7 @@
     uint64_t m_preemptions = 0;
     uint64_t m_retries = 0;
     std::vector<uint64_t> m_losses; ///< urgent requests not answered, by Reason
+    std::vector<uint64_t> m_batchLosses; ///< batch requests that had used slot time and were not answered, by Reason
     std::vector<double> m_attainmentBySecond; ///< answered share of the urgent requests that arrived in each second
 };
 
--- a/src/policy.h
+++ b/src/policy.h
@@ -82,6 +82,9 @@
     Duration m_wasteBurst = seconds(20); ///< most unused waste allowance that is kept, in service time
     double m_resumeCost = 0.1; ///< share of its running time that a preempted, resumable request repeats
     Duration m_preemptAfter = milliseconds(100); ///< urgent requests wait this long for a place before batch is cancelled
+    /// By class: a deadline is unreachable when it is nearer than the mean service time and this many mean deviations. Batch
+    /// can be tried again later, so it does not start a run that may come too late.
+    std::array<double, 2> m_deadlineDeviations = {0, 3};
     Duration m_probeInterval = seconds(1); ///< one request is tried this often although its deadline looks unreachable
 
     bool operator==(const AdmissionSettings &) const = default;
@@ -95,10 +98,10 @@
     double m_weight = 1; ///< weight of the organisation, above 0
     double m_cost = 1; ///< expected work relative to an average request
     TimePoint m_deadline; ///< of the whole request
-    Duration m_remaining{}; ///< expected time of the stages after this one
+    Duration m_remaining{}; ///< expected time of the stages after this one, with expectedWait() of their pools
     bool m_preemptible = false; ///< batch only: may be cancelled for urgent work and queued again
     bool m_resumable = false; ///< a preempted run continues where it stopped
-    bool m_resumed = false; ///< was preempted: goes to the front of its organisation's queue
+    bool m_resumed = false; ///< was preempted: goes to the front of its organisation's queue, even when that is full
     bool m_probe = false; ///< set by enqueueRequest(): tried although its deadline looks unreachable
     TimePoint m_queuedAt; ///< set by enqueueRequest()
 
@@ -397,7 +400,8 @@
 uint64_t replicaKey(const Address &address);
 /**
  * Places of a pool for dispatchRequests(): the whole limits of the usable replicas, and elsewhere the requests still open.
- * While fewer requests run, at least one usable replica has room.
+ * While fewer requests and hedges run, at least one usable replica has room. A retry keeps its request's place; when the
+ * limits have shrunk meanwhile, it may be routed to a replica without room.
  */
 double poolCapacity(std::span<const Candidate> candidates);
 /** Expected load of a candidate as a share of its limit. Lower is better. */
@@ -486,7 +490,7 @@
  * Time limit of one attempt.
  * @param left time to the deadline of the request
  * @param stageShare part of it for this stage and the attempts that may follow, above 0 and at most 1
- * @param estimate observed time of an attempt
+ * @param estimate observed time of an attempt of the same class; batch waits longer on the replicas than urgent work
  * @param attemptsLeft attempts that may follow this one
  */
 Duration attemptTimeout(Duration left, double stageShare, const DurationEstimate &estimate, int64_t attemptsLeft);
--- a/src/policy_admission.cpp
+++ b/src/policy_admission.cpp
@@ -136,7 +136,8 @@
     if (service.m_samples < MinEstimateSamples) {
         return Duration{0};
     }
-    return fromSeconds(service.m_mean * request.m_cost);
+    const double deviations = admission.m_settings.m_deadlineDeviations[static_cast<size_t>(request.m_class)];
+    return fromSeconds((service.m_mean + deviations * service.m_deviation) * request.m_cost);
 }
 
 bool canMeetDeadline(const Admission &admission, const AdmissionRequest &request, Duration wait, TimePoint now)
@@ -352,7 +353,9 @@
     const size_t bound = request.m_class == RequestClass::Urgent ? settings.m_maxQueuedUrgent : settings.m_maxQueuedBatch;
     const auto own = queue.m_queues.find(request.m_organisation);
     const size_t ownSize = own == queue.m_queues.end() ? 0 : own->second.m_requests.size();
-    if (queue.m_size >= bound || ownSize >= settings.m_maxQueuedByOrganisation) {
+    // A preempted request has just given up its place, so the excess is bounded by the capacity.
+    const bool bounded = !request.m_resumed;
+    if (bounded && (queue.m_size >= bound || ownSize >= settings.m_maxQueuedByOrganisation)) {
         return Reason::QueueFull;
     }
     AdmissionRequest queued = request;
