--- a/src/entry.h
+++ b/src/entry.h
@@ -174,26 +174,21 @@
 // [SECTION] Blackboard
 //-----------------------------------------------------------------------------
 
-/** The answer of a claim of a non-idempotent request. */
+/** The answer of a claim of a non-idempotent stage. */
 struct ClaimDecision {
-    bool m_granted = false; ///< this entry, and nobody else, may run it
+    bool m_granted = false; ///< this call, and no other, may run it
+    Identifier m_call; ///< names the call when it reports its end
     std::optional<std::string> m_answer; ///< the first run's answer
     Outcome m_outcome = Outcome::NotRun; ///< when neither granted nor answered
     Reason m_reason = Reason::None;
 };
 
-/** Claims of non-idempotent requests. */
+/** Claims of non-idempotent stages. */
 struct ClaimCalls {
-    std::function<ClaimDecision(const std::string &organisation,
-                                const Identifier &key,
-                                uint64_t bodyHash,
-                                const Identifier &holder,
-                                TimePoint deadline)>
-        m_claim;
-    /** The run has ended with this answer, or certainly did not run (nothing). */
-    std::function<
-        void(const std::string &organisation, const Identifier &key, const Identifier &holder, const std::optional<std::string> &answer)>
-        m_finish;
+    /** Blocks until the claim is decided or the deadline has passed. */
+    std::function<ClaimDecision(const Identifier &key, uint64_t bodyHash, TimePoint deadline)> m_claim;
+    /** A granted call has ended; NotRun only when that is certain. */
+    std::function<void(const Identifier &call, Outcome outcome, const std::string &answer)> m_finish;
 };
 
 struct Blackboard {
@@ -228,6 +223,10 @@
     uint64_t m_contentHash = 0;
     TimePoint m_arrival;
     TimePoint m_deadline;
+    std::vector<nlohmann::json> m_finished; ///< batch: outputs of the stages that need not run again
+    /** Batch: makes the claim key of a stage durable before the stage is claimed. Empty: from the idempotency key. */
+    std::function<std::optional<Identifier>(size_t stage)> m_claimKey;
+    std::function<void(size_t stage, const nlohmann::json &output)> m_onStage; ///< batch: keeps the output
 };
 
 /** How a request ended. */
@@ -242,7 +241,10 @@
     std::optional<Duration> m_firstToken;
 };
 
-/** Receives the text of the last stage when it is of kind generate. */
+/** The claim key of one stage: unique for organisation, caller's key and stage, with the time of the caller's key. */
+Identifier claimKey(const std::string &organisation, const Identifier &key, size_t stage);
+
+/** @p sink receives the text of the last stage when it is of kind generate. @p cancel ends the request early. */
 PipelineResult runPipeline(Blackboard &board, const AcceptedRequest &request, const TokenSink &sink, CancelToken &cancel);
 
 //-----------------------------------------------------------------------------
--- a/src/entry_pipeline.cpp
+++ b/src/entry_pipeline.cpp
@@ -104,14 +104,17 @@
     return std::min(request.m_deadline, start + share);
 }
 
-/** The idempotency key of one stage: the caller's key and the stage, so that two stages never share a claim. */
-Identifier stageKey(const Identifier &key, size_t stage)
+} // namespace
+
+Identifier claimKey(const std::string &organisation, const Identifier &key, size_t stage)
 {
-    Identifier result = key;
-    result.m_low = (key.m_low & (uint64_t(3) << 62)) | (combineHash(key.m_low, stage) >> 2);
-    return result;
+    constexpr uint64_t VariantMask = uint64_t(3) << 62;
+    const uint64_t hash = combineHash(combineHash(key.m_low, hash64(organisation)), stage);
+    return {key.m_high, (key.m_low & VariantMask) | (hash & ~VariantMask)};
 }
 
+namespace {
+
 AttemptRequest makeAttempt(const AcceptedRequest &request, size_t index, const Progress &progress)
 {
     const Stage &stage = request.m_pipeline.m_stages[index];
@@ -129,8 +132,8 @@
     } else {
         attempt.m_input = stageInput(stage, progress);
     }
-    if (request.m_idempotencyKey) {
-        attempt.m_idempotencyKey = toString(stageKey(*request.m_idempotencyKey, index));
+    if (request.m_idempotencyKey && !stage.m_idempotent) {
+        attempt.m_idempotencyKey = toString(claimKey(request.m_organisation->m_name, *request.m_idempotencyKey, index));
     }
     return attempt;
 }
@@ -320,15 +323,25 @@
     return output.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
+std::optional<Identifier> stageClaimKey(const AcceptedRequest &request, size_t index)
+{
+    if (request.m_claimKey) {
+        return request.m_claimKey(index);
+    }
+    assert(request.m_idempotencyKey);
+    return claimKey(request.m_organisation->m_name, *request.m_idempotencyKey, index);
+}
+
 StageResult runClaimed(StageRun &run)
 {
     Blackboard &board = run.m_board;
     const AcceptedRequest &request = run.m_request;
-    assert(request.m_idempotencyKey);
-    const Identifier key = stageKey(*request.m_idempotencyKey, run.m_index);
-    const std::string &organisation = request.m_organisation->m_name;
-    const ClaimDecision claim = board.m_claims.m_claim(organisation, key, request.m_contentHash, request.m_identifier, request.m_deadline);
-    if (claim.m_answer || claim.m_outcome == Outcome::Unknown) {
+    const std::optional<Identifier> key = stageClaimKey(request, run.m_index);
+    if (!key) {
+        return {Outcome::NotRun, Reason::StoreUnavailable, {}, {}};
+    }
+    const ClaimDecision claim = board.m_claims.m_claim(*key, request.m_contentHash, request.m_deadline);
+    if (claim.m_answer || (!claim.m_granted && claim.m_outcome == Outcome::Unknown)) {
         run.m_progress.m_mayHaveRun = true;
         run.m_progress.m_sideEffects = true;
     }
@@ -339,11 +352,8 @@
         return {claim.m_outcome, claim.m_reason, {}, {}};
     }
     StageResult result = runAttempts(run);
-    if (result.m_outcome == Outcome::Answered) {
-        board.m_claims.m_finish(organisation, key, request.m_identifier, encodeAnswer(result.m_output));
-    } else if (result.m_outcome == Outcome::NotRun) {
-        board.m_claims.m_finish(organisation, key, request.m_identifier, std::nullopt);
-    }
+    const bool answered = result.m_outcome == Outcome::Answered;
+    board.m_claims.m_finish(claim.m_call, result.m_outcome, answered ? encodeAnswer(result.m_output) : std::string());
     return result;
 }
 
@@ -374,7 +384,12 @@
     result.m_outcome = Outcome::Answered;
     result.m_stages = nlohmann::json::object();
     const std::vector<Stage> &stages = request.m_pipeline.m_stages;
-    for (size_t i = 0; i < stages.size(); ++i) {
+    for (size_t i = 0; i < request.m_finished.size(); ++i) {
+        result.m_stages[stages[i].m_name] = request.m_finished[i];
+        progress.m_outputs[stages[i].m_name] = request.m_finished[i];
+        progress.m_mayHaveRun = true;
+    }
+    for (size_t i = request.m_finished.size(); i < stages.size(); ++i) {
         const Stage &stage = stages[i];
         const bool last = i + 1 == stages.size();
         const TokenSink none;
@@ -388,6 +403,14 @@
             result.m_retryAfter = stageResult.m_retryAfter;
             break;
         }
+        if (cancel.m_cancelled) {
+            result.m_outcome = requestOutcome(progress);
+            result.m_reason = Reason::CallerGone;
+            break;
+        }
+        if (request.m_onStage && !last) {
+            request.m_onStage(i, stageResult.m_output);
+        }
         result.m_stages[stage.m_name] = stageResult.m_output;
         progress.m_outputs[stage.m_name] = std::move(stageResult.m_output);
     }
--- a/src/main_demo.cpp
+++ b/src/main_demo.cpp
@@ -10,6 +10,7 @@
 
 #include "entry.h"
 #include "standins.h"
+#include "standins_store.h"
 
 namespace Medlarramp {
 
@@ -32,6 +33,9 @@
     std::list<StagePoolStandin> m_stages;
     std::list<PlainServiceStandin> m_services;
     std::vector<Replica> m_replicas;
+    VmListStandin m_vmList;
+    KeyValueState m_storeState;
+    std::unique_ptr<StoreServer> m_store;
 };
 
 std::vector<DemoPool> demoPools(const Configuration &configuration)
@@ -85,11 +89,18 @@
             fleet.m_replicas.push_back(replica);
         }
     }
-    return absl::OkStatus();
+    setVms(fleet.m_vmList, fleet.m_replicas);
+    if (absl::Status status = start(fleet.m_vmList); !status.ok()) {
+        return status;
+    }
+    fleet.m_store = startStoreServer(fleet.m_storeState);
+    return fleet.m_store ? absl::OkStatus() : absl::UnavailableError("cannot start the store");
 }
 
 void stopFleet(DemoFleet &fleet)
 {
+    stopStoreServer(*fleet.m_store);
+    stop(fleet.m_vmList);
     for (ModelEngineStandin &engine : fleet.m_engines) {
         stop(engine);
     }
@@ -170,9 +181,30 @@
     std::string m_payment; ///< pipeline with a non-idempotent stage
     std::string m_batch; ///< pipeline for batch jobs
     std::string m_key;
+    std::string m_paymentStage; ///< the stage that runs at most once
 };
 
-void runScript(DemoReport &demo, const DemoScript &script, const Address &address)
+/** Runs of calls with an idempotency key, over all plain services, of the call that was run most often. */
+uint64_t paymentRuns(DemoFleet &fleet)
+{
+    std::map<std::string, uint64_t> runs;
+    uint64_t most = 0;
+    for (PlainServiceStandin &service : fleet.m_services) {
+        for (const auto &[key, count] : counts(service.m_http).m_runsByKey) {
+            runs[key] += count;
+            most = std::max(most, runs[key]);
+        }
+    }
+    return most;
+}
+
+/** Output of the stage that runs at most once; null when the answer has none. */
+nlohmann::json stageOutput(const nlohmann::json &answer, const DemoScript &script)
+{
+    return answer.value("stages", nlohmann::json::object()).value(script.m_paymentStage, nlohmann::json());
+}
+
+void runScript(DemoReport &demo, const DemoScript &script, const Address &address, DemoFleet &fleet)
 {
     httplib::Client client(address.m_host, address.m_port);
     client.set_read_timeout(30);
@@ -195,6 +227,23 @@
     const DemoAnswer missing = post(client, keyless);
     report(demo, keyless.m_title, missing.m_status == 400, missing.m_body);
 
+    const Clock clock;
+    const std::string key = toString(makeIdentifier(clock));
+    DemoCall payment{"payment", script.m_payment, script.m_key, {{"input", "umbrella 17"}}, key};
+    const DemoAnswer first = post(client, payment);
+    const nlohmann::json firstBody = nlohmann::json::parse(first.m_body, nullptr, false);
+    report(demo, payment.m_title, first.m_status == 200 && firstBody.value("outcome", "") == "answered", first.m_body);
+
+    const uint64_t runs = paymentRuns(fleet);
+    const DemoAnswer second = post(client, payment);
+    const nlohmann::json secondBody = nlohmann::json::parse(second.m_body, nullptr, false);
+    const bool sameAnswer = second.m_status == 200 && stageOutput(secondBody, script) == stageOutput(firstBody, script);
+    report(demo, "the same payment again: same answer, one run", sameAnswer && paymentRuns(fleet) == runs && runs == 1, second.m_body);
+
+    DemoCall other{"the same key with another body", script.m_payment, script.m_key, {{"input", "umbrella 18"}}, key};
+    const DemoAnswer mismatch = post(client, other);
+    report(demo, other.m_title, mismatch.m_status == 422, mismatch.m_body);
+
     DemoCall stranger{"unknown key", script.m_streamed, "no-such-key", {{"input", "x"}}, {}};
     const DemoAnswer unknown = post(client, stranger);
     report(demo, stranger.m_title, unknown.m_status == 401, unknown.m_body);
@@ -250,6 +299,70 @@
     sigwait(&signals, &signal);
 }
 
+constexpr const char *AdminKeyVariable = "MEDLARRAMP_DEMO_ADMIN_KEY";
+constexpr const char *PeerKeyVariable = "MEDLARRAMP_DEMO_PEER_KEY";
+
+Settings demoSettings(const DemoOptions &options, const std::string &region, DemoFleet &fleet)
+{
+    Settings settings;
+    settings.m_node = region + "-entry-1";
+    settings.m_region = region;
+    settings.m_failureDomain = region + "-a";
+    settings.m_listen = {"127.0.0.1", options.m_port};
+    settings.m_peer = {"127.0.0.1", 0};
+    settings.m_storeEndpoints = {fleet.m_store->m_address};
+    settings.m_vmList = fleet.m_vmList.m_http.m_address;
+    settings.m_maxConnections = 64;
+    settings.m_drainDelay = milliseconds(0);
+    settings.m_adminKeys = {{"demo", AdminRole::EditAll, "", {AdminKeyVariable, ""}}};
+    settings.m_peerKeys = {{1, {PeerKeyVariable, ""}}};
+    return settings;
+}
+
+/** Puts every object of the example through the administration API. */
+bool putConfiguration(const Configuration &configuration, const Address &address)
+{
+    httplib::Client client(address.m_host, address.m_port);
+    const httplib::Headers headers = {{"Authorization", std::string("Bearer ") + std::getenv(AdminKeyVariable)}};
+    bool accepted = true;
+    const auto put = [&](const std::string &kind, const std::string &name, const nlohmann::json &object) {
+        const std::string path = fmt::format("/admin/v1/{}/{}?wait_ms=5000", kind, name);
+        const httplib::Result result = client.Put(path, headers, object.dump(), "application/json");
+        if (!result || result->status >= 300) {
+            fmt::print("WRONG {} {}: {}\n", kind, name, result ? result->body : "no answer");
+            accepted = false;
+        }
+    };
+    for (const auto &[name, upstream] : configuration.m_upstreams) {
+        put("upstreams", name, toJson(*upstream));
+    }
+    for (const auto &[name, pipeline] : configuration.m_templates) {
+        put("templates", name, toJson(*pipeline));
+    }
+    for (const auto &[name, organisation] : configuration.m_organisations) {
+        put("organisations", name, toJson(*organisation));
+    }
+    return accepted;
+}
+
+/** Waits for readiness as the platform's balancer does. */
+bool awaitReady(const Address &address, const Clock &clock)
+{
+    constexpr seconds ReadyLimit{20};
+    constexpr milliseconds ReadyPoll{20};
+    httplib::Client client(address.m_host, address.m_port);
+    StopSignal never;
+    const TimePoint limit = now(clock) + ReadyLimit;
+    while (now(clock) < limit) {
+        const httplib::Result result = client.Get("/readyz");
+        if (result && result->status == 200) {
+            return true;
+        }
+        sleepFor(clock, never, ReadyPoll);
+    }
+    return false;
+}
+
 absl::Status runDeployment(DemoReport &demo, const DemoOptions &options, const std::string &region, const DemoScript &script, bool keep)
 {
     Findings findings;
@@ -258,30 +371,24 @@
     if (!configuration) {
         return absl::InvalidArgumentError(toString(findings));
     }
+    Clock clock;
     DemoFleet fleet;
+    fleet.m_storeState.m_clock = &clock;
     if (absl::Status status = startFleet(fleet, *configuration, region); !status.ok()) {
         return status;
     }
-    Settings settings;
-    settings.m_node = region + "-entry-1";
-    settings.m_region = region;
-    settings.m_failureDomain = region + "-a";
-    settings.m_listen = {"127.0.0.1", options.m_port};
-    settings.m_maxConnections = 64;
-    settings.m_drainDelay = milliseconds(0);
-    Clock clock;
-    EntryParts parts;
-    parts.m_configuration = std::make_shared<const Configuration>(*configuration);
-    parts.m_replicas = fleet.m_replicas;
-    const absl::StatusOr<std::shared_ptr<Entry>> entry = startEntry(settings, clock, parts);
+    const absl::StatusOr<std::shared_ptr<Entry>> entry = startEntry(demoSettings(options, region, fleet), clock);
     if (!entry.ok()) {
         return entry.status();
     }
     fmt::print("== {}\n", region);
-    runScript(demo, script, listenAddress(**entry));
+    const Address address = listenAddress(**entry);
+    report(demo, "ready", awaitReady(address, clock), "");
+    report(demo, "configuration in force", putConfiguration(*configuration, address), "");
+    runScript(demo, script, address, fleet);
     printTables(*blackboard(**entry).m_metrics);
     if (keep) {
-        keepRunning(listenAddress(**entry), script);
+        keepRunning(address, script);
     }
     demo.m_wrong += stopEntry(**entry) == 0 ? 0 : 1;
     stopFleet(fleet);
@@ -297,8 +404,10 @@
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
     std::signal(SIGPIPE, SIG_IGN);
     setLogLevel(LogLevel::Error);
-    const DemoScript santiago{"customer-reply", "rental-payment", "restock-plan", "demo-key-kiosk-centro"};
-    const DemoScript lagos{"hint-ladder", "prize-redemption", "riddle-pack", "demo-key-lagoon-hunts"};
+    setenv(AdminKeyVariable, "demo-admin-key", 0);
+    setenv(PeerKeyVariable, "demo-peer-key", 0);
+    const DemoScript santiago{"customer-reply", "rental-payment", "restock-plan", "demo-key-kiosk-centro", "confirm"};
+    const DemoScript lagos{"hint-ladder", "prize-redemption", "riddle-pack", "demo-key-lagoon-hunts", "redeem"};
     DemoReport demo;
     for (const auto &[region, script] : {std::pair{"lagos", lagos}, std::pair{"santiago", santiago}}) {
         const bool keep = options.m_keep && std::string_view(region) == "santiago";
