Serve durable batch jobs

Jobs are accepted after their group is committed, run by any entry under a lease, and polled or awaited.

--- a/src/entry_http.h
+++ b/src/entry_http.h
@@ -10,6 +10,7 @@
 #include <httplib.h>
 
 #include "entry.h"
+#include "entry_batch.h"
 
 namespace Medlarramp {
 
@@ -51,5 +52,7 @@
 void configureServer(httplib::Server &server, const Settings &settings);
 /** Routes for callers, health, readiness and metrics. */
 void registerCallerRoutes(httplib::Server &server, Blackboard &board);
+/** Routes for batch jobs. */
+void registerJobRoutes(httplib::Server &server, Blackboard &board, BatchService &service);
 
 } // namespace Medlarramp
--- a/src/entry_process.cpp
+++ b/src/entry_process.cpp
@@ -22,6 +22,7 @@
     UpstreamController m_upstreams;
     NodeLease m_lease;
     std::shared_ptr<ClaimService> m_claims;
+    std::shared_ptr<BatchService> m_batch;
     TransportPointer m_transport;
     std::unique_ptr<httplib::Server> m_server;
     Address m_address;
@@ -152,6 +153,7 @@
     entry->m_keeper.m_store = makeStore(*entry);
     entry->m_claims = makeClaimService(board, entry->m_keeper.m_store, entry->m_lease);
     board.m_claims = makeClaimCalls(entry->m_claims);
+    entry->m_batch = makeBatchService(board, entry->m_keeper.m_store, entry->m_lease);
     if (!board.m_settings.m_peerKeys.empty()) {
         absl::StatusOr<TransportPointer> transport =
             startMembership(board, entry->m_keeper, [service = entry->m_claims](const Address &, const std::string &payload) {
@@ -185,10 +187,20 @@
     }
 }
 
+void startBatchThreads(Entry &entry)
+{
+    entry.m_threads.emplace_back([&entry] { runBatchAccept(*entry.m_batch, entry.m_stop); });
+    entry.m_threads.emplace_back([&entry] { runBatchGroups(*entry.m_batch, entry.m_stop); });
+    for (int i = 0; i < BatchWorkers; ++i) {
+        entry.m_threads.emplace_back([&entry] { runBatchWorker(*entry.m_batch, entry.m_stop); });
+    }
+}
+
 /** Stops what was started, in an order in which nothing is used after its end. */
 void stopParts(Entry &entry)
 {
-    if (entry.m_claims) {
+    if (entry.m_batch) {
+        leaveBatch(*entry.m_batch);
         leaveClaims(*entry.m_claims);
     }
     if (entry.m_transport) {
@@ -227,7 +239,9 @@
             return context.status();
         }
         registerAdminRoutes(*entry->m_server, *std::move(context));
+        registerJobRoutes(*entry->m_server, entry->m_board, *entry->m_batch);
         startThreads(*entry);
+        startBatchThreads(*entry);
     }
     entry->m_threads.emplace_back([server = entry->m_server.get()] { server->listen_after_bind(); });
     writeLog(LogLevel::Info, "entry", "Listening.", {{"address", toString(entry->m_address)}, {"node", settings.m_node}});
--- a/src/main_demo.cpp
+++ b/src/main_demo.cpp
@@ -204,6 +204,29 @@
     return answer.value("stages", nlohmann::json::object()).value(script.m_paymentStage, nlohmann::json());
 }
 
+/** Submits a batch job and polls it to its end. */
+void runBatchJob(DemoReport &demo, const DemoScript &script, httplib::Client &client)
+{
+    constexpr int MaxPolls = 20;
+    const httplib::Headers headers = {{"Authorization", "Bearer " + script.m_key}};
+    const std::string path = fmt::format("/v1/pipelines/{}/jobs", script.m_batch);
+    const httplib::Result submitted = client.Post(path, headers, R"({"input":"next week","class":"batch"})", "application/json");
+    const nlohmann::json accepted = nlohmann::json::parse(submitted ? submitted->body : "", nullptr, false);
+    report(demo, "batch job accepted", submitted && submitted->status == 202, submitted ? submitted->body : "");
+    if (!submitted || submitted->status != 202) {
+        return;
+    }
+    nlohmann::json job = nlohmann::json::object();
+    for (int i = 0; i < MaxPolls && job.value("state", "") != "finished"; ++i) {
+        const httplib::Result polled = client.Get("/v1/jobs/" + accepted.value("job", "") + "?wait_ms=1000", headers);
+        job = nlohmann::json::parse(polled ? polled->body : "", nullptr, false);
+        if (!job.is_object()) {
+            break;
+        }
+    }
+    report(demo, "batch job finished", job.is_object() && job.value("outcome", "") == "answered", job.dump());
+}
+
 void runScript(DemoReport &demo, const DemoScript &script, const Address &address, DemoFleet &fleet)
 {
     httplib::Client client(address.m_host, address.m_port);
@@ -244,6 +267,8 @@
     const DemoAnswer mismatch = post(client, other);
     report(demo, other.m_title, mismatch.m_status == 422, mismatch.m_body);
 
+    runBatchJob(demo, script, client);
+
     DemoCall stranger{"unknown key", script.m_streamed, "no-such-key", {{"input", "x"}}, {}};
     const DemoAnswer unknown = post(client, stranger);
     report(demo, stranger.m_title, unknown.m_status == 401, unknown.m_body);
