--- a/src/standins_internal.h
+++ b/src/standins_internal.h
@@ -38,6 +38,8 @@
     StandinServer();
     /** The library's backlog of 5 drops the SYNs of a burst, which are sent again only after 1 s. */
     void raiseBacklog();
+    /** Closes a socket that was bound but does not accept yet. */
+    void closeListener();
 
     Clock m_clock;
     std::mutex m_mutex; ///< guards the members below
--- a/src/standins_server.cpp
+++ b/src/standins_server.cpp
@@ -198,11 +198,16 @@
         }
         bound = false;
         {
+            // A stop or a fault that came while the port was being bound found no listener to end.
             const std::lock_guard lock(server.m_mutex);
+            if (server.m_stopped || server.m_faults.m_refuseConnections) {
+                server.closeListener();
+                continue;
+            }
+            server.raiseBacklog();
             server.m_up = true;
         }
         server.m_changed.notify_all();
-        server.raiseBacklog();
         server.listen_after_bind();
     }
 }
@@ -226,6 +231,11 @@
     ::listen(svr_sock_, SOMAXCONN);
 }
 
+void StandinServer::closeListener()
+{
+    close(svr_sock_.exchange(-1));
+}
+
 bool StandinServer::process_and_close_socket(int descriptor)
 {
     ServerConnection connection;
--- a/tests/test_standins.cpp
+++ b/tests/test_standins.cpp
@@ -465,6 +465,7 @@
         service.m_refusesRepeats = true;
         CPPUNIT_ASSERT(start(service).ok());
         std::vector<std::future<int>> calls;
+        calls.reserve(Calls);
         for (int i = 0; i < Calls; ++i) {
             calls.push_back(std::async(std::launch::async, [&] {
                 httplib::Client client = clientOf(service.m_http);
--- a/tests/test_upstream.cpp
+++ b/tests/test_upstream.cpp
@@ -198,7 +198,7 @@
         address.sin_port = htons(static_cast<uint16_t>(m_listener.m_place.m_address.m_port));
         for (int i = 0; i < 4; ++i) {
             m_waiting.push_back(socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
-            connect(m_waiting.back(), reinterpret_cast<sockaddr *>(&address), sizeof address);
+            (void)connect(m_waiting.back(), reinterpret_cast<sockaddr *>(&address), sizeof address);
         }
     }
 
@@ -516,7 +516,7 @@
     void brokenEventIsNotComplete()
     {
         for (const char *event : {R"({"error":{"message":"out of memory"}})", R"({"choices":)", "[1]"}) {
-            RawServer server(eventAnswer(TokenEvent + "data: " + std::string(event) + "\n\n" + TokenEvent + "data: [DONE]\n\n"));
+            RawServer server(eventAnswer(fmt::format("{}data: {}\n\n{}data: [DONE]\n\n", TokenEvent, event, TokenEvent)));
             const AttemptResult result = runEngine(server);
             CPPUNIT_ASSERT_EQUAL(std::string("a"), result.m_text);
             CPPUNIT_ASSERT(!result.m_evidence.m_complete);
@@ -679,6 +679,7 @@
         AttemptRequest request = requestFor(fixture, pool.m_http, UpstreamKind::StagePool);
         request.m_input = "together";
         std::vector<std::future<AttemptResult>> attempts;
+        attempts.reserve(Connections);
         for (int i = 0; i < Connections; ++i) {
             attempts.push_back(std::async(std::launch::async, [&] { return run(fixture, request); }));
         }
@@ -924,7 +925,7 @@
                                        std::string(R"({"targets":["127.0.0.1:1"]})"),
                                        std::string("1")}) {
             findings.clear();
-            CPPUNIT_ASSERT(!parseVmList("[" + good + "," + bad + "]", findings));
+            CPPUNIT_ASSERT(!parseVmList(fmt::format("[{},{}]", good, bad), findings));
             CPPUNIT_ASSERT(!findings.empty());
         }
         findings.clear();
