--- a/bench/bench_policy_simulation.cpp
+++ b/bench/bench_policy_simulation.cpp
@@ -18,6 +18,7 @@
 
 constexpr double MicrosecondsPerSecond = 1e6;
 constexpr double ReferenceWork = 0.6; ///< seconds of work of an admission cost of 1 on the model pool
+constexpr double MinCost = 0.02; ///< of short stages
 constexpr size_t EngineQueueFactor = 4; ///< a replica rejects when this many times its slots wait
 constexpr Duration BatchDeadline = seconds(60);
 constexpr Duration Tick = milliseconds(100); ///< dispatch without another event
@@ -68,7 +69,8 @@
     int m_attempt = 0;
     double m_work = 0; ///< seconds of the current stage not yet done
     double m_fullWork = 0;
-    double m_spent = 0; ///< slot time of finished stages
+    double m_spent = 0; ///< slot time of finished stages and preempted runs
+    double m_modelSpent = 0; ///< of it, on the model pool
     std::vector<uint64_t> m_open; ///< attempts
     std::vector<size_t> m_tried; ///< replicas
     int m_runs = 0; ///< of the current stage, completed on a replica
@@ -152,7 +154,7 @@
 
 double costOf(const SimulatedRequest &request, double mean)
 {
-    return std::max(0.02, mean / ReferenceWork * (request.m_fullWork > 0 ? request.m_work / request.m_fullWork : 1));
+    return std::max(MinCost, mean / ReferenceWork * (request.m_fullWork > 0 ? request.m_work / request.m_fullWork : 1));
 }
 
 bool inOutage(const Simulation &sim)
@@ -348,6 +350,8 @@
     if (!answered) {
         waste(sim, WasteCause::Unanswered, request.m_spent);
     }
+    const double delivered = answered ? request.m_modelSpent : 0;
+    (request.m_class == RequestClass::Urgent ? sim.m_result.m_urgentSeconds : sim.m_result.m_batchSeconds) += delivered;
     if (request.m_class == RequestClass::Batch) {
         sim.m_result.m_batchAnswered += answered ? 1 : 0;
         sim.m_result.m_batchLosses[static_cast<size_t>(reason)] += answered || request.m_spent == 0 ? 0 : 1;
@@ -487,7 +491,7 @@
 void observe(Simulation &sim, const Attempt &attempt, const AttemptVerdict &verdict, uint32_t open)
 {
     EntryPool &pool = poolOf(sim, attempt);
-    const double cost = std::max(0.02, attempt.m_work / ReferenceWork);
+    const double cost = std::max(MinCost, attempt.m_work / ReferenceWork);
     const Duration latency = fromSeconds(toSeconds(sim.m_now - attempt.m_sent) / cost);
     const LimitSignal signal = limitSignal(verdict);
     observeSample(pool.m_limits[attempt.m_replica], sim.m_limitSettings, {signal, latency, open}, sim.m_now);
@@ -514,9 +518,7 @@
         cancelAttempt(sim, request.m_open.back());
     }
     request.m_spent += used;
-    if (attempt.m_pool == sim.m_modelPool) {
-        (request.m_class == RequestClass::Urgent ? sim.m_result.m_urgentSeconds : sim.m_result.m_batchSeconds) += used;
-    }
+    request.m_modelSpent += attempt.m_pool == sim.m_modelPool ? used : 0;
     leavePool(sim, id, Finish::Useful);
     request.m_stage += 1;
     if (request.m_stage == stagesOf(sim, request.m_class).size()) {
@@ -574,7 +576,7 @@
     const Attempt &attempt = it->second;
     SimulatedRequest &request = sim.m_requests.at(attempt.m_request);
     EntryPool &pool = poolOf(sim, attempt);
-    const double cost = std::max(0.02, attempt.m_work / ReferenceWork);
+    const double cost = std::max(MinCost, attempt.m_work / ReferenceWork);
     const Duration elapsed = fromSeconds(toSeconds(sim.m_now - attempt.m_sent) / cost) + milliseconds(1);
     const bool idempotent = stageOf(sim, request).m_idempotent;
     const bool single = request.m_open.size() == 1;
@@ -636,7 +638,7 @@
     const auto late =
         hedgeDelay(pool.m_estimates[static_cast<size_t>(request.m_class)], stageOf(sim, request).m_idempotent, sim.m_hedgeSettings);
     if (!hedge && late && request.m_class == RequestClass::Urgent) {
-        const double cost = std::max(0.02, attempt.m_work / ReferenceWork);
+        const double cost = std::max(MinCost, attempt.m_work / ReferenceWork);
         schedule(sim, sim.m_now + fromSeconds(toSeconds(*late) * cost), [&sim, attemptId]() { hedgeIfLate(sim, attemptId); });
     }
 }
@@ -653,9 +655,7 @@
         waste(sim, WasteCause::Preempted, ResumeLoss * used);
         request.m_spent += (1 - ResumeLoss) * used;
         request.m_work = std::max(0.001, request.m_work - (1 - ResumeLoss) * used / factor);
-        if (attempt.m_pool == sim.m_modelPool) {
-            sim.m_result.m_batchSeconds += (1 - ResumeLoss) * used;
-        }
+        request.m_modelSpent += attempt.m_pool == sim.m_modelPool ? (1 - ResumeLoss) * used : 0;
     }
     leavePool(sim, id, Finish::Preempted);
     request.m_attempt = 0;
@@ -708,7 +708,9 @@
         later.m_class = request.m_class;
         later.m_organisation = request.m_organisation;
         later.m_weight = sim.m_deployment.m_organisations[request.m_organisation].m_weight;
-        remaining += stages[i].m_service + expectedWait(sim.m_entries[request.m_entry][stages[i].m_pool].m_admission, later);
+        later.m_cost = std::max(MinCost, toSeconds(stages[i].m_service) / ReferenceWork);
+        const Duration time = expectedTime(sim.m_entries[request.m_entry][stages[i].m_pool].m_admission, later, sim.m_now);
+        remaining += std::max(time, stages[i].m_service);
     }
     return remaining;
 }
--- a/src/policy.h
+++ b/src/policy.h
@@ -85,6 +85,7 @@
     /// By class: a deadline is unreachable when it is nearer than the mean service time and this many mean deviations. Batch
     /// can be tried again later, so it does not start a run that may come too late.
     std::array<double, 2> m_deadlineDeviations = {0, 3};
+    double m_remainingMargin = 1.15; ///< factor on AdmissionRequest::m_remaining; queues of later stages grow meanwhile
     Duration m_probeInterval = seconds(1); ///< one request is tried this often although its deadline looks unreachable
 
     bool operator==(const AdmissionSettings &) const = default;
@@ -98,7 +99,7 @@
     double m_weight = 1; ///< weight of the organisation, above 0
     double m_cost = 1; ///< expected work relative to an average request
     TimePoint m_deadline; ///< of the whole request
-    Duration m_remaining{}; ///< expected time of the stages after this one, with expectedWait() of their pools
+    Duration m_remaining{}; ///< sum of expectedTime() of the stages after this one
     bool m_preemptible = false; ///< batch only: may be cancelled for urgent work and queued again
     bool m_resumable = false; ///< a preempted run continues where it stopped
     bool m_resumed = false; ///< was preempted: goes to the front of its organisation's queue, even when that is full
@@ -144,6 +145,8 @@
     bool operator==(const FairQueue &) const = default;
 };
 
+constexpr Duration BatchRateWindow = seconds(20); ///< over which the throughput of batch is measured
+
 /** A request that holds a place. */
 struct RunningRequest {
     AdmissionRequest m_request;
@@ -161,6 +164,9 @@
     FairQueue m_batch;
     std::unordered_map<uint64_t, RunningRequest> m_running; ///< by request identifier; bounded by the capacity
     size_t m_runningUrgent = 0;
+    double m_batchDone = 0; ///< cost of finished batch, decaying with BatchRateWindow
+    TimePoint m_batchDoneAt; ///< time to which m_batchDone has decayed
+    TimePoint m_batchSince; ///< first finished batch; zero: none
     size_t m_stopping = 0; ///< preempted requests that still hold a place
     std::array<DurationEstimate, 2> m_service; ///< by class: time that a request of cost 1 holds a place
     double m_capacity = 0; ///< places, as of the last dispatch
@@ -208,7 +214,9 @@
 /** Removes a waiting request, whose caller has gone. @return false when it was not waiting. */
 bool withdrawRequest(Admission &admission, uint64_t id, uint64_t organisation, RequestClass requestClass);
 /** Expected time until a request that arrives now gets a place. */
-Duration expectedWait(const Admission &admission, const AdmissionRequest &request);
+Duration expectedWait(const Admission &admission, const AdmissionRequest &request, TimePoint now);
+/** Expected wait and service time, as enqueueRequest() compares them with the deadline. */
+Duration expectedTime(const Admission &admission, const AdmissionRequest &request, TimePoint now);
 
 //-----------------------------------------------------------------------------
 // [SECTION] Limits by organisation
--- a/src/policy_admission.cpp
+++ b/src/policy_admission.cpp
@@ -142,7 +142,8 @@
 
 bool canMeetDeadline(const Admission &admission, const AdmissionRequest &request, Duration wait, TimePoint now)
 {
-    return now + wait + expectedService(admission, request) + request.m_remaining <= request.m_deadline;
+    const Duration remaining = fromSeconds(toSeconds(request.m_remaining) * admission.m_settings.m_remainingMargin);
+    return now + wait + expectedService(admission, request) + remaining <= request.m_deadline;
 }
 
 /** A stale estimate would refuse everything and never be corrected, so a request is tried from time to time. */
@@ -211,6 +212,32 @@
     return startNext(admission, RequestClass::Batch, false, now, actions) > 0;
 }
 
+double decayed(const Admission &admission, TimePoint now)
+{
+    return admission.m_batchDone * std::exp(-toSeconds(now - admission.m_batchDoneAt) / toSeconds(BatchRateWindow));
+}
+
+/**
+ * Measured throughput of batch, in cost per second. Preemption makes it lower than what places and service time suggest.
+ * @param expected used until one window has been measured
+ */
+double batchRate(const Admission &admission, double expected, TimePoint now)
+{
+    if (admission.m_batchSince == TimePoint{} || now - admission.m_batchSince < BatchRateWindow) {
+        return expected;
+    }
+    // A pool that was blocked would never accept batch again, so the rate does not fall to 0.
+    constexpr double LowestShare = 0.05;
+    return std::max(LowestShare * expected, decayed(admission, now) / toSeconds(BatchRateWindow));
+}
+
+void countBatch(Admission &admission, double cost, TimePoint now)
+{
+    admission.m_batchDone = decayed(admission, now) + cost;
+    admission.m_batchDoneAt = now;
+    admission.m_batchSince = admission.m_batchSince == TimePoint{} ? now : admission.m_batchSince;
+}
+
 double lossOf(const Admission &admission, const RunningRequest &running, TimePoint now)
 {
     const double share = running.m_request.m_resumable ? admission.m_settings.m_resumeCost : 1.0;
@@ -327,7 +354,7 @@
     return fromSeconds(estimate.m_mean + deviations * estimate.m_deviation);
 }
 
-Duration expectedWait(const Admission &admission, const AdmissionRequest &request)
+Duration expectedWait(const Admission &admission, const AdmissionRequest &request, TimePoint now)
 {
     const bool urgent = request.m_class == RequestClass::Urgent;
     const FairQueue &queue = urgent ? admission.m_urgent : admission.m_batch;
@@ -343,7 +370,13 @@
     // While the own requests before this one are served, the others get their shares, but no more than they wait for.
     const double fair = ownCost * (queue.m_weight - ownWeight + weight) / weight;
     const double places = admission.m_capacity - (urgent ? 0.0 : static_cast<double>(admission.m_runningUrgent));
-    return fromSeconds(std::min(fair, queue.m_cost) * service.m_mean / std::max(1.0, places));
+    const double rate = std::max(1.0, places) / std::max(1e-6, service.m_mean);
+    return fromSeconds(std::min(fair, queue.m_cost) / (urgent ? rate : std::min(rate, batchRate(admission, rate, now))));
+}
+
+Duration expectedTime(const Admission &admission, const AdmissionRequest &request, TimePoint now)
+{
+    return expectedWait(admission, request, now) + expectedService(admission, request);
 }
 
 Reason enqueueRequest(Admission &admission, const AdmissionRequest &request, TimePoint now)
@@ -360,7 +393,7 @@
     }
     AdmissionRequest queued = request;
     queued.m_queuedAt = now;
-    queued.m_probe = !canMeetDeadline(admission, request, expectedWait(admission, request), now);
+    queued.m_probe = !canMeetDeadline(admission, request, expectedWait(admission, request, now), now);
     if (queued.m_probe && !takeProbe(admission, request, now)) {
         return Reason::DeadlineUnreachable;
     }
@@ -399,6 +432,9 @@
     }
     addSample(admission.m_service[static_cast<size_t>(running.m_request.m_class)],
               fromSeconds(held / std::max(running.m_request.m_cost, MinCost)));
+    if (running.m_request.m_class == RequestClass::Batch) {
+        countBatch(admission, running.m_request.m_cost, now);
+    }
     admission.m_usefulSeconds += held;
     admission.m_wasteAllowance =
         std::min(toSeconds(admission.m_settings.m_wasteBurst), admission.m_wasteAllowance + held * admission.m_settings.m_wasteShare);
