Empty the queue of a congested upstream in one step

The lowest latency was measured while a queue already stood, so limits grew until the upstream rejected.

--- a/src/policy.h
+++ b/src/policy.h
@@ -261,9 +261,9 @@
     double m_minimum = 0.05; ///< below 1, requests are spaced out instead of overlapped
     double m_maximum = 512; ///< Upstream::m_maxLimit
     double m_tolerance = 2.0; ///< latency above this multiple of the lowest means congestion
-    double m_increase = 1.0; ///< requests per limit's worth of successes
-    double m_decrease = 0.9; ///< factor on congestion
-    double m_rejectedDecrease = 0.7; ///< factor on a rejection
+    double m_increase = 0.5; ///< requests per limit's worth of successes
+    double m_decrease = 0.5; ///< lowest factor on congestion
+    double m_rejectedDecrease = 0.5; ///< factor on a rejection
     Duration m_baselineWindow = seconds(60); ///< the lowest latency is forgotten after one to two windows
 
     bool operator==(const LimitSettings &) const = default;
--- a/src/policy_limits.cpp
+++ b/src/policy_limits.cpp
@@ -74,13 +74,14 @@
     return std::max(limit.m_lowest, limit.m_lowestBefore);
 }
 
-void decrease(AdaptiveLimit &limit, const LimitSettings &settings, double factor, TimePoint now)
+void decrease(AdaptiveLimit &limit, double factor, double minimum, TimePoint now)
 {
     if (now < limit.m_nextDecrease) {
         return;
     }
-    limit.m_limit = std::max(settings.m_minimum, limit.m_limit * factor);
-    limit.m_nextDecrease = now + std::max(MinDecreaseGap, fromSeconds(limit.m_recent));
+    limit.m_limit = std::max(std::min(minimum, limit.m_limit), limit.m_limit * factor);
+    // Answers to requests opened before this decrease still show the congestion that it removes.
+    limit.m_nextDecrease = now + std::max(MinDecreaseGap, fromSeconds(2 * limit.m_recent));
 }
 
 void increase(AdaptiveLimit &limit, const LimitSettings &settings, uint32_t open)
@@ -89,7 +90,9 @@
     if (static_cast<double>(open) < FullUse * std::floor(limit.m_limit)) {
         return;
     }
-    limit.m_limit = std::min(settings.m_maximum, limit.m_limit + settings.m_increase / std::max(1.0, limit.m_limit));
+    // Below 1 the requests are rare, and a whole step at each would be many times the limit.
+    const double step = settings.m_increase * std::min(limit.m_limit, 1 / limit.m_limit);
+    limit.m_limit = std::min(settings.m_maximum, limit.m_limit + step);
 }
 
 void recordLatency(AdaptiveLimit &limit, Duration latency)
@@ -159,13 +162,16 @@
         return;
     }
     if (sample.m_signal != LimitSignal::Success) {
-        decrease(limit, settings, settings.m_rejectedDecrease, now);
+        decrease(limit, settings.m_rejectedDecrease, settings.m_minimum, now);
         return;
     }
     rotateWindow(limit, settings, now);
     recordLatency(limit, sample.m_latency);
     if (limit.m_recent > settings.m_tolerance * baseline(limit)) {
-        decrease(limit, settings, settings.m_decrease, now);
+        // By Little's law this factor empties the queue on the upstream, so that the lowest latency can be seen again. Latency
+        // is noisy, so it does not take the last request away; only rejections do.
+        const double factor = std::max(settings.m_decrease, baseline(limit) / limit.m_recent);
+        decrease(limit, factor, std::max(1.0, settings.m_minimum), now);
         return;
     }
     increase(limit, settings, sample.m_open);
