Let small limits tolerate more latency, and start with a full waste allowance

With 9 entries the limits stayed unequal, because an entry with a lower measured minimum always backed off first.

--- a/bench/bench_policy.cpp
+++ b/bench/bench_policy.cpp
@@ -12,7 +12,6 @@
 namespace {
 
 constexpr double SurgeLoad = 10; ///< multiple of the capacity
-constexpr Duration BaselineLength = std::chrono::minutes(5);
 constexpr double Percent = 100;
 
 struct Variant {
@@ -33,7 +32,6 @@
 std::vector<Result> runBaselines(const Deployment &deployment, Scenario scenario, uint64_t seed)
 {
     std::vector<Result> results;
-    scenario.m_length = std::min(scenario.m_length, BaselineLength);
     for (const Variant &variant : Variants) {
         scenario.m_routing = variant.m_routing;
         scenario.m_admission = variant.m_admission;
--- a/src/policy.h
+++ b/src/policy.h
@@ -171,7 +171,7 @@
     std::array<DurationEstimate, 2> m_service; ///< by class: time that a request of cost 1 holds a place
     double m_capacity = 0; ///< places, as of the last dispatch
     double m_batchCredit = 0; ///< guaranteed batch work not yet started, in cost units
-    double m_wasteAllowance = 0; ///< seconds of service time that preemption may discard
+    double m_wasteAllowance = 20; ///< seconds of service time that preemption may discard; starts at m_wasteBurst
     double m_usefulSeconds = 0; ///< service time of finished work
     double m_wastedSeconds = 0; ///< service time discarded by preemption
     TimePoint m_nextProbe; ///< when a request with an unreachable deadline may be tried next
@@ -260,7 +260,8 @@
     double m_initial = 16; ///< Upstream::m_initialLimit
     double m_minimum = 0.05; ///< below 1, requests are spaced out instead of overlapped
     double m_maximum = 512; ///< Upstream::m_maxLimit
-    double m_tolerance = 2.0; ///< latency above this multiple of the lowest means congestion
+    double m_tolerance = 1.6; ///< latency above this multiple of the lowest means congestion
+    double m_smallTolerance = 1.2; ///< added for a limit of 1; shrinks with the root of the limit (Kumar et al.: Swift, 2020)
     double m_increase = 0.5; ///< requests per limit's worth of successes
     double m_decrease = 0.5; ///< lowest factor on congestion
     double m_rejectedDecrease = 0.5; ///< factor on a rejection
--- a/src/policy_limits.cpp
+++ b/src/policy_limits.cpp
@@ -95,6 +95,12 @@
     limit.m_limit = std::min(settings.m_maximum, limit.m_limit + step);
 }
 
+/** A small limit tolerates more, so that the small ones grow and the large ones shrink until entries have equal shares. */
+double toleranceOf(const AdaptiveLimit &limit, const LimitSettings &settings)
+{
+    return settings.m_tolerance + settings.m_smallTolerance / std::sqrt(std::max(1.0, limit.m_limit));
+}
+
 void recordLatency(AdaptiveLimit &limit, Duration latency)
 {
     const double value = std::max(toSeconds(latency), 1 / MicrosecondsPerSecond);
@@ -167,7 +173,7 @@
     }
     rotateWindow(limit, settings, now);
     recordLatency(limit, sample.m_latency);
-    if (limit.m_recent > settings.m_tolerance * baseline(limit)) {
+    if (limit.m_recent > toleranceOf(limit, settings) * baseline(limit)) {
         // By Little's law this factor empties the queue on the upstream, so that the lowest latency can be seen again. Latency
         // is noisy, so it does not take the last request away; only rejections do.
         const double factor = std::max(settings.m_decrease, baseline(limit) / limit.m_recent);
