--- a/src/store.h
+++ b/src/store.h
@@ -471,11 +471,13 @@
 using ConfigAccess = std::function<void(const std::function<void(ConfigState &)> &)>;
 
 /**
- * Brings the state up to the store's revision, validates, and writes by compare-and-swap on the object and on
- * ConfigHeadKey. An edit of another object at the same moment leads to a new validation, not to a conflict.
+ * Validates, and writes by compare-and-swap on the object and on ConfigHeadKey. A state that is behind the store is
+ * brought up to it first: no refusal rests on an old state. An edit of another object at the same moment leads to a new
+ * validation, not to a conflict. Costs one store call when the state is up to date.
  */
 EditAnswer editConfiguration(const WriteContext &context, const ConfigAccess &access, const ConfigEdit &edit);
 
 constexpr int MaxEditAttempts = 8; ///< validations of one edit while others succeed
+constexpr seconds EditLimit{3}; ///< for the sends and reads of one attempt
 
 } // namespace Medlarramp
--- a/src/store_config.cpp
+++ b/src/store_config.cpp
@@ -663,12 +663,29 @@
     return head->m_entries.empty() ? 0 : head->m_entries.front().m_modRevision;
 }
 
+/**
+ * The head key's revision by this node's own state: each change writes the head in its own transaction, so it is the
+ * last change's revision. Nothing when a change is above the cursor, because others below it may be missing.
+ */
+std::optional<int64_t> localHead(const ConfigAccess &access)
+{
+    std::optional<int64_t> head;
+    access([&head](const ConfigState &state) {
+        const int64_t last = state.m_log.empty() ? 0 : state.m_log.rbegin()->first;
+        if (last <= state.m_cursor) {
+            head = last;
+        }
+    });
+    return head;
+}
+
 MarkedWrite makeWrite(const WriteContext &context, const ConfigEdit &edit, const EditBase &base, int64_t head, std::string &value)
 {
     MarkedWrite write;
     write.m_mark = makeIdentifier(*context.m_clock);
     write.m_witness = configKey(edit.m_name.m_kind, edit.m_name.m_name);
     write.m_neverDeleted = true;
+    write.m_limit = EditLimit;
     const ConfigRecord record{edit.m_by, wallMilliseconds(*context.m_clock), !edit.m_object, edit.m_object.value_or(nlohmann::json())};
     value = encodeRecord(write.m_mark, record);
     write.m_transaction.m_purpose = StorePurpose::Administration;
@@ -687,54 +704,84 @@
     return answer;
 }
 
+/** The answer to an edit that was written; nothing when it has to be decided anew. */
+std::optional<EditAnswer> answerWrite(const EditBase &base, const WriteAnswer &written, const std::string &key, const std::string &value)
+{
+    EditAnswer answer;
+    answer.m_reason = written.m_reason;
+    answer.m_revision = written.m_revision;
+    answer.m_batch = {base.m_cursor, base.m_cursor, {{key, written.m_revision, value}}, 0};
+    switch (written.m_result) {
+    case WriteResult::Applied:
+        answer.m_result = EditResult::Accepted;
+        answer.m_batch.m_to = written.m_revision;
+        return answer;
+    case WriteResult::Superseded:
+        // When its revision is known, the edit was accepted and has been replaced since; other changes may be missing.
+        answer.m_result = written.m_revision > 0 ? EditResult::Accepted : EditResult::Unknown;
+        break;
+    case WriteResult::Unknown:
+        answer.m_result = EditResult::Unknown;
+        break;
+    case WriteResult::NotApplied:
+        if (written.m_reason == Reason::Conflict) {
+            return std::nullopt;
+        }
+        answer.m_result = EditResult::Refused;
+        break;
+    }
+    if (answer.m_result != EditResult::Accepted) {
+        answer.m_batch = {};
+    }
+    return answer;
+}
+
+EditAnswer tooLarge()
+{
+    EditAnswer answer;
+    answer.m_result = EditResult::Invalid;
+    answer.m_reason = Reason::BodyTooLarge;
+    answer.m_findings = {{"", "", "the object is too large for the store"}};
+    return answer;
+}
+
 } // namespace
 
 EditAnswer editConfiguration(const WriteContext &context, const ConfigAccess &access, const ConfigEdit &edit)
 {
-    EditAnswer answer;
     for (int attempt = 0; attempt < MaxEditAttempts; ++attempt) {
-        const absl::StatusOr<int64_t> head = refresh(context, access);
+        // The first attempt trusts the node's own state; the compare on the head key refuses it when that is behind.
+        const bool fresh = attempt > 0;
+        const std::optional<int64_t> local = fresh ? std::nullopt : localHead(access);
+        if (!fresh && !local) {
+            continue;
+        }
+        const absl::StatusOr<int64_t> head = fresh ? refresh(context, access) : absl::StatusOr<int64_t>(*local);
         if (!head.ok()) {
             return refused(head.status());
         }
         const EditBase base = inspect(access, edit);
-        if (const std::optional<EditAnswer> refusal = refuse(base, edit)) {
+        const std::optional<EditAnswer> refusal = refuse(base, edit);
+        if (refusal && fresh) {
             return *refusal;
         }
+        if (refusal) {
+            continue;
+        }
         std::string value;
         const MarkedWrite write = makeWrite(context, edit, base, *head, value);
         if (value.size() > MaxStoreValueBytes / 2) {
-            answer.m_result = EditResult::Invalid;
-            answer.m_reason = Reason::BodyTooLarge;
-            answer.m_findings = {{"", "", "the object is too large for the store"}};
-            return answer;
-        }
-        const WriteAnswer written = transact(context, write);
-        answer.m_reason = written.m_reason;
-        if (written.m_result == WriteResult::Applied) {
-            answer.m_result = EditResult::Accepted;
-            answer.m_revision = written.m_revision;
-            answer.m_batch = {base.m_cursor, written.m_revision, {{write.m_witness, written.m_revision, value}}, 0};
-            access([&answer](ConfigState &state) { applyBatch(state, answer.m_batch); });
-            return answer;
+            return tooLarge();
         }
-        if (written.m_result == WriteResult::Superseded && written.m_revision > 0) {
-            // Accepted, and replaced since. The batch claims nothing beyond the change itself.
-            answer.m_result = EditResult::Accepted;
-            answer.m_revision = written.m_revision;
-            answer.m_batch = {base.m_cursor, base.m_cursor, {{write.m_witness, written.m_revision, value}}, 0};
-            return answer;
-        }
-        if (written.m_result != WriteResult::NotApplied) {
-            answer.m_result = EditResult::Unknown;
-            return answer;
-        }
-        if (written.m_reason != Reason::Conflict) {
-            answer.m_result = EditResult::Refused;
-            return answer;
+        const std::optional<EditAnswer> answer = answerWrite(base, transact(context, write), write.m_witness, value);
+        if (answer) {
+            access([&answer](ConfigState &state) { applyBatch(state, answer->m_batch); });
+            return *answer;
         }
     }
+    EditAnswer answer;
     answer.m_result = EditResult::Refused;
+    answer.m_reason = Reason::Conflict;
     return answer;
 }
 
--- a/tests/test_config.cpp
+++ b/tests/test_config.cpp
@@ -173,6 +173,8 @@
     CPPUNIT_TEST(editsOfDifferentObjectsDoNotConflict);
     CPPUNIT_TEST(editsThatBreakEachOtherAreNotBothAccepted);
     CPPUNIT_TEST(editWithALostAnswerIsAcceptedOnce);
+    CPPUNIT_TEST(editOfACurrentStateCostsOneCall);
+    CPPUNIT_TEST(refusalNeverRestsOnAnOldState);
     CPPUNIT_TEST(editDuringAnOutageIsRefused);
     CPPUNIT_TEST(deletedObjectCanBeCreatedAgain);
     CPPUNIT_TEST(seededDeliveryNeverReverts);
@@ -588,6 +590,42 @@
         CPPUNIT_ASSERT_EQUAL(answer.m_revision, editor.m_state.m_cursor);
     }
 
+    // Guards against edits that use up the store's rate when an operator writes thousands of objects.
+    void editOfACurrentStateCostsOneCall()
+    {
+        EditStore store;
+        Editor editor;
+        store.fill(editor);
+        const uint64_t calls = allCalls(store.m_state);
+        for (int i = 0; i < 50; ++i) {
+            store.accept(editor, ObjectKind::Organisation, organisationJson(fmt::format("o{}", i)));
+        }
+        CPPUNIT_ASSERT_EQUAL(calls + 50, allCalls(store.m_state));
+    }
+
+    // Guards against a conflict or finding that only a node behind the store sees.
+    void refusalNeverRestsOnAnOldState()
+    {
+        EditStore store;
+        Editor behind;
+        Editor current;
+        store.fill(current);
+        const int64_t created = current.m_state.m_entries.at("config/organisation/alder").m_revision;
+        const EditAnswer conflicting =
+            store.edit(behind, edit(ObjectKind::Organisation, "alder", organisationJson("alder", {"kx"}, {"pack"}), created));
+        CPPUNIT_ASSERT(conflicting.m_result == EditResult::Accepted);
+        Editor empty;
+        const EditAnswer dangling = store.edit(empty, edit(ObjectKind::Organisation, "birch", organisationJson("birch", {}, {"pack"}), 0));
+        CPPUNIT_ASSERT(dangling.m_result == EditResult::Accepted);
+        // A change above the cursor hides that others may be missing.
+        Editor gap;
+        applyBatch(gap.m_state, dangling.m_batch);
+        CPPUNIT_ASSERT_EQUAL(int64_t(0), gap.m_state.m_cursor);
+        const EditAnswer overGap = store.edit(gap, edit(ObjectKind::Organisation, "cedar", organisationJson("cedar"), 0));
+        CPPUNIT_ASSERT(overGap.m_result == EditResult::Accepted);
+        CPPUNIT_ASSERT(gap.m_state.m_configuration.m_templates.contains("pack"));
+    }
+
     // Guards against an edit that is accepted by one node only while the store is down.
     void editDuringAnOutageIsRefused()
     {
