--- a/src/store_config.cpp
+++ b/src/store_config.cpp
@@ -550,6 +550,15 @@
     }
 }
 
+std::set<std::string> linesOf(const Findings &findings)
+{
+    std::set<std::string> lines;
+    for (const Finding &finding : findings) {
+        lines.insert(toString({finding}));
+    }
+    return lines;
+}
+
 } // namespace
 
 Findings validateEdit(const ConfigState &state, const ConfigEdit &edit)
@@ -566,14 +575,15 @@
     if (object && object->m_organisation) {
         checkKeys(state, *object->m_organisation, findings);
     }
-    const Configuration before = partFor(state, organisationsConcerned(state, edit.m_name));
-    Configuration after = before;
-    setObject(after, edit.m_name, object);
-    const Findings known = validateConfiguration(before);
+    Configuration part = partFor(state, organisationsConcerned(state, edit.m_name));
+    const Configuration before = part;
+    setObject(part, edit.m_name, object);
+    const Findings after = validateConfiguration(part);
+    const std::set<std::string> known = after.empty() ? std::set<std::string>() : linesOf(validateConfiguration(before));
     const std::string self = fmt::format("{}/{}", toString(edit.m_name.m_kind), edit.m_name.m_name);
-    for (Finding &finding : validateConfiguration(after)) {
+    for (Finding finding : after) {
         const bool concernsSelf = finding.m_file == self;
-        if (!concernsSelf && std::find(known.begin(), known.end(), finding) != known.end()) {
+        if (!concernsSelf && known.contains(toString({finding}))) {
             continue;
         }
         if (concernsSelf) {
