--- a/src/core.h
+++ b/src/core.h
@@ -316,7 +316,7 @@
         bool m_owned = false; ///< no copy of the map shares the chunk
     };
 
-    struct const_iterator {
+    struct ConstIterator {
         using iterator_category = std::forward_iterator_tag;
         using value_type = SharedMap::value_type;
         using difference_type = std::ptrdiff_t;
@@ -335,7 +335,7 @@
         {
             return &**this;
         }
-        const_iterator &operator++()
+        ConstIterator &operator++()
         {
             if (++m_index == m_map->m_slots[m_slot].m_chunk->size()) {
                 ++m_slot;
@@ -343,14 +343,15 @@
             }
             return *this;
         }
-        const_iterator operator++(int)
+        ConstIterator operator++(int)
         {
-            const_iterator before = *this;
+            ConstIterator before = *this;
             ++*this;
             return before;
         }
-        bool operator==(const const_iterator &) const = default;
+        bool operator==(const ConstIterator &) const = default;
     };
+    using const_iterator = ConstIterator;
 
     std::vector<Slot> m_slots; ///< in key order
     size_t m_size = 0;
@@ -396,6 +397,7 @@
         return m_size == 0;
     }
     /** The first entry whose key is not less than @p key. */
+    // NOLINTNEXTLINE(readability-identifier-naming): name of std::map
     [[nodiscard]] const_iterator lower_bound(std::string_view key) const
     {
         const auto slot =
@@ -433,6 +435,7 @@
         const const_iterator position = lower_bound(key);
         return {insert(position, std::move(key), std::move(value)), true};
     }
+    // NOLINTNEXTLINE(readability-identifier-naming): name of std::map
     std::pair<const_iterator, bool> insert_or_assign(std::string key, Value value)
     {
         const const_iterator existing = find(key);
--- a/src/entry_admin.h
+++ b/src/entry_admin.h
@@ -28,7 +28,7 @@
 #include "model.h"
 #include "store.h"
 
-namespace httplib {
+namespace httplib { // NOLINT(readability-identifier-naming): name of the library
 class Server;
 }
 
--- a/src/standins_store.h
+++ b/src/standins_store.h
@@ -26,7 +26,7 @@
 #include "core.h"
 #include "store.h"
 
-namespace httplib {
+namespace httplib { // NOLINT(readability-identifier-naming): name of the library
 class Server;
 }
 
--- a/src/store.cpp
+++ b/src/store.cpp
@@ -237,7 +237,7 @@
 template<typename Call>
 auto guarded(Guard &guard, StorePurpose purpose, const Call &call) -> decltype(call())
 {
-    const absl::Status admitted = admit(guard, purpose);
+    absl::Status admitted = admit(guard, purpose);
     if (!admitted.ok()) {
         return admitted;
     }
@@ -249,7 +249,7 @@
 /** A watch that delivered anything was alive; its later end says nothing about the store's health until it reopens. */
 absl::Status guardedWatch(Guard &guard, const WatchRequest &request, const WatchSink &sink, StopSignal &stop)
 {
-    const absl::Status admitted = admit(guard, request.m_purpose);
+    absl::Status admitted = admit(guard, request.m_purpose);
     if (!admitted.ok()) {
         return admitted;
     }
@@ -261,7 +261,7 @@
         }
         return sink(batch);
     };
-    const absl::Status status = guard.m_inner.m_watch(request, noteAndPass, stop);
+    absl::Status status = guard.m_inner.m_watch(request, noteAndPass, stop);
     if (!delivered || status.ok()) {
         record(guard, status);
     }
--- a/src/store_etcd.cpp
+++ b/src/store_etcd.cpp
@@ -107,16 +107,16 @@
 /** The member, or an empty object. */
 const json &child(const json &object, const char *name)
 {
-    static const json Empty = json::object();
+    static const json empty = json::object();
     const auto position = object.find(name);
-    return position != object.end() && position->is_object() ? *position : Empty;
+    return position != object.end() && position->is_object() ? *position : empty;
 }
 
 const json &list(const json &object, const char *name)
 {
-    static const json Empty = json::array();
+    static const json empty = json::array();
     const auto position = object.find(name);
-    return position != object.end() && position->is_array() ? *position : Empty;
+    return position != object.end() && position->is_array() ? *position : empty;
 }
 
 KeyValue readEntry(const json &value)
