--- a/src/cluster_spread.cpp
+++ b/src/cluster_spread.cpp
@@ -178,6 +178,16 @@
     return changes;
 }
 
+/** Larger sets, such as what a node reads when its watch begins, are left to the pull, which transfers them in parts. */
+bool fitsTree(const ConfigChanges &changes)
+{
+    size_t bytes = 0;
+    for (const ConfigObject &object : changes.m_objects) {
+        bytes += object.m_key.size() + object.m_content.size();
+    }
+    return bytes <= MaxConfigBatchBytes && changes.m_objects.size() <= MaxObjectsPerMessage;
+}
+
 void sendChange(ClusterState &state, const ConfigChanges &changes, EventContext &context)
 {
     state.m_treeCursor = std::max(state.m_treeCursor, changes.m_cursor);
@@ -418,7 +428,7 @@
 {
     applyChanges(state, changes, context);
     forwardNotices(state, context);
-    if (state.m_left || changes.m_objects.empty() || changes.m_cursor <= state.m_treeCursor) {
+    if (state.m_left || changes.m_objects.empty() || changes.m_cursor <= state.m_treeCursor || !fitsTree(changes)) {
         return;
     }
     const size_t rank = watcherRank(state, changes.m_cursor);
@@ -450,6 +460,10 @@
     }
     ConfigChanges changes = context.m_config.m_changesSince(pull.m_cursor, MaxConfigBatchBytes);
     changes.m_previous = pull.m_cursor;
+    if (changes.m_objects.size() > MaxObjectsPerMessage) {
+        changes.m_objects.resize(MaxObjectsPerMessage);
+        changes.m_cursor = changes.m_objects.back().m_revision;
+    }
     sendBody(context, sender, ConfigBatch{std::move(changes)});
 }
 
