--- a/tests/test_spread.cpp
+++ b/tests/test_spread.cpp
@@ -104,15 +104,16 @@
     std::array<SmallConfig, 3> m_configs;
     std::vector<Letter> m_letters;
     int m_losses = 0;
+    std::array<int64_t, 3> m_watched{}; ///< revision up to which the store has delivered to each node
     TimePoint m_now{seconds(100)};
 };
 
-constexpr int64_t SmallChanges = 3;
-
 struct Exploration {
+    int64_t m_changes = 0; ///< revisions in the store
+    int m_maxLosses = 0;
+    bool m_allWatch = false; ///< the store delivers to all nodes, at any moment; otherwise only as set up
     uint64_t m_steps = 0;
     uint64_t m_ends = 0;
-    std::set<std::string> m_distinctEnds;
     std::set<std::string> m_visited;
     std::string m_violation;
 };
@@ -223,7 +224,7 @@
     for (const std::string &letter : letters) {
         text += letter + "|";
     }
-    return text + fmt::format("L{}", world.m_losses);
+    return text + fmt::format("L{}W{},{},{}", world.m_losses, world.m_watched[0], world.m_watched[1], world.m_watched[2]);
 }
 
 /** Without further losses, all three nodes hold everything within the limit. */
@@ -239,8 +240,9 @@
         for (size_t i = 0; i < 3; ++i) {
             smallStep(world, i, TickEvent{}, exploration);
         }
-        const bool done = std::all_of(
-            world.m_configs.begin(), world.m_configs.end(), [](const SmallConfig &config) { return config.m_cursor == SmallChanges; });
+        const bool done = std::all_of(world.m_configs.begin(), world.m_configs.end(), [&exploration](const SmallConfig &config) {
+            return config.m_cursor == exploration.m_changes;
+        });
         if (done) {
             return true;
         }
@@ -248,13 +250,38 @@
     return false;
 }
 
-/** Delivers or loses each message under way, in every order. */
-void explore(const SmallWorld &world, int maxLosses, Exploration &exploration)
+void deliverNextChange(SmallWorld &world, size_t node, Exploration &exploration)
+{
+    const int64_t revision = ++world.m_watched[node];
+    const ConfigChanges changes{{{fmt::format("key{}", revision), revision, "content"}}, revision - 1, revision};
+    smallStep(world, node, WatchEvent{changes}, exploration);
+}
+
+void explore(const SmallWorld &world, Exploration &exploration);
+
+/** Lets the store deliver its next change to each node in turn. True when there was one to deliver. */
+bool exploreWatches(const SmallWorld &world, Exploration &exploration)
+{
+    bool delivered = false;
+    for (size_t node = 0; exploration.m_allWatch && node < world.m_states.size(); ++node) {
+        if (world.m_watched[node] < exploration.m_changes) {
+            SmallWorld next = world;
+            deliverNextChange(next, node, exploration);
+            explore(next, exploration);
+            delivered = true;
+        }
+    }
+    return delivered;
+}
+
+/** Delivers or loses each message under way, and delivers each change of the store, in every order. */
+void explore(const SmallWorld &world, Exploration &exploration)
 {
     if (!exploration.m_violation.empty() || !exploration.m_visited.insert(describe(world)).second) {
         return;
     }
-    if (world.m_letters.empty()) {
+    const bool delivered = exploreWatches(world, exploration);
+    if (world.m_letters.empty() && !delivered) {
         ++exploration.m_ends;
         if (!convergesInTime(world, exploration)) {
             exploration.m_violation = "a change is not in force everywhere in time: " + describe(world);
@@ -267,10 +294,10 @@
         next.m_letters.erase(next.m_letters.begin() + static_cast<std::ptrdiff_t>(i));
         SmallWorld lost = next;
         smallStep(next, letter.m_to, MessageEvent{letter.m_message}, exploration);
-        explore(next, maxLosses, exploration);
-        if (lost.m_losses < maxLosses) {
+        explore(next, exploration);
+        if (lost.m_losses < exploration.m_maxLosses) {
             ++lost.m_losses;
-            explore(lost, maxLosses, exploration);
+            explore(lost, exploration);
         }
     }
 }
@@ -294,7 +321,8 @@
     CPPUNIT_TEST(verdictsExpireAndAreBounded);
     CPPUNIT_TEST(pollFindsNodesBelow);
     CPPUNIT_TEST(alternativesReachAll);
-    CPPUNIT_TEST(allInterleavingsOfThreeNodes);
+    CPPUNIT_TEST(allInterleavingsOfThreeChanges);
+    CPPUNIT_TEST(allInterleavingsOfStoreAndTree);
     CPPUNIT_TEST_SUITE_END();
 
     // Guards against a part of the ring that no child serves, or that two children serve.
@@ -616,23 +644,33 @@
 
     // Guards against an order of messages and losses that seeded runs do not reach: every order in which the messages
     // of three changes can arrive at three nodes, with every choice of lost ones.
-    void allInterleavingsOfThreeNodes()
+    void allInterleavingsOfThreeChanges()
     {
-        constexpr int MaxLosses = 12;
-        Exploration exploration;
+        constexpr int NoLimit = 1'000;
+        Exploration exploration{.m_changes = 3, .m_maxLosses = NoLimit};
         SmallWorld world = smallWorld(exploration);
         const std::vector<Address> watchers = configWatchers(liveMembers(world.m_states[0]), "r0");
         CPPUNIT_ASSERT_EQUAL(size_t(3), watchers.size());
-        // The watcher whose turn it is sends each change; the others have not heard from the store yet.
-        for (int64_t revision = 1; revision <= SmallChanges; ++revision) {
+        // The watcher whose turn it is sends each change; the others hear nothing from the store.
+        for (int64_t revision = 1; revision <= exploration.m_changes; ++revision) {
             const Address &first = watchers[(watchers.size() - static_cast<size_t>(revision) % watchers.size()) % watchers.size()];
-            const ConfigChanges changes{{{fmt::format("key{}", revision), revision, "content"}}, revision - 1, revision};
-            smallStep(world, static_cast<size_t>(first.m_port), WatchEvent{changes}, exploration);
+            const auto node = static_cast<size_t>(first.m_port);
+            world.m_watched[node] = revision - 1;
+            deliverNextChange(world, node, exploration);
         }
-        CPPUNIT_ASSERT_EQUAL(size_t(2 * SmallChanges), world.m_letters.size());
-        explore(world, MaxLosses, exploration);
+        CPPUNIT_ASSERT_EQUAL(size_t(6), world.m_letters.size());
+        explore(world, exploration);
+        CPPUNIT_ASSERT_EQUAL(std::string(), exploration.m_violation);
+        CPPUNIT_ASSERT(exploration.m_ends > 1'000);
+    }
+
+    // Guards against changes that the store and the tree deliver in conflicting orders: two changes that each node may
+    // receive from the store at any moment between the messages, of which up to two are lost.
+    void allInterleavingsOfStoreAndTree()
+    {
+        Exploration exploration{.m_changes = 2, .m_maxLosses = 2, .m_allWatch = true};
+        explore(smallWorld(exploration), exploration);
         CPPUNIT_ASSERT_EQUAL(std::string(), exploration.m_violation);
-        fmt::print("{} steps {} states {} ends\n", exploration.m_steps, exploration.m_visited.size(), exploration.m_ends);
         CPPUNIT_ASSERT(exploration.m_ends > 100);
     }
 };
