--- a/src/cluster.h
+++ b/src/cluster.h
@@ -194,9 +194,9 @@
 
 struct Ping {
     uint32_t m_probe = 0;
-    uint64_t m_targetBoot = 0; ///< what the sender knows of the receiver
-    uint32_t m_targetIncarnation = 0;
-    MemberState m_targetState = MemberState::Alive;
+    MemberState m_targetState = MemberState::Alive; ///< what the sender knows of the receiver
+    uint64_t m_targetBoot = 0; ///< only sent when the state is not Alive
+    uint32_t m_targetIncarnation = 0; ///< only sent when the state is not Alive
     Heartbeat m_heartbeat;
 
     bool operator==(const Ping &) const = default;
@@ -379,7 +379,8 @@
 //-----------------------------------------------------------------------------
 
 constexpr milliseconds TickInterval{50};
-constexpr milliseconds ProbeInterval{1'000}; ///< of each of the two probe orders
+constexpr milliseconds RingProbeInterval{1'000}; ///< to the next member in the ring, so that each member is probed by one node
+constexpr milliseconds RandomProbeInterval{2'000}; ///< in random round-robin order, which compares views and cursors
 constexpr milliseconds ProbeTimeout{300}; ///< until other members are asked to probe
 constexpr milliseconds ProbeLimit{900}; ///< until the member is suspected
 constexpr size_t IndirectProbes = 3;
--- a/src/cluster_membership.cpp
+++ b/src/cluster_membership.cpp
@@ -304,7 +304,8 @@
 {
     Ping ping;
     ping.m_probe = probe;
-    if (const MemberRecord *record = findRecord(state, target)) {
+    const MemberRecord *record = findRecord(state, target);
+    if (record && record->m_member.m_state != MemberState::Alive) {
         ping.m_targetBoot = record->m_member.m_boot;
         ping.m_targetIncarnation = record->m_member.m_incarnation;
         ping.m_targetState = record->m_member.m_state;
@@ -381,13 +382,13 @@
 void tickProbes(ClusterState &state, EventContext &context)
 {
     if (context.m_now >= state.m_nextRingProbe) {
-        state.m_nextRingProbe = context.m_now + ProbeInterval;
+        state.m_nextRingProbe = context.m_now + RingProbeInterval;
         if (const auto target = ringSuccessor(state)) {
             startProbe(state, *target, false, context);
         }
     }
     if (context.m_now >= state.m_nextProbe) {
-        state.m_nextProbe = context.m_now + ProbeInterval;
+        state.m_nextProbe = context.m_now + RandomProbeInterval;
         if (const auto target = nextInOrder(state, context.m_random)) {
             startProbe(state, *target, false, context);
         }
@@ -553,8 +554,8 @@
     state.m_announceLoadAt = context.m_now;
     state.m_nextSeed = context.m_now;
     state.m_nextSync = context.m_now + jitter(context.m_random, SyncInterval);
-    state.m_nextRingProbe = context.m_now + jitter(context.m_random, ProbeInterval);
-    state.m_nextProbe = context.m_now + jitter(context.m_random, ProbeInterval);
+    state.m_nextRingProbe = context.m_now + jitter(context.m_random, RingProbeInterval);
+    state.m_nextProbe = context.m_now + jitter(context.m_random, RandomProbeInterval);
     state.m_nextFailedProbe = context.m_now + FailedProbeInterval;
     state.m_lastProbe = static_cast<uint32_t>(nextRandom(context.m_random));
     tickSeeds(state, context);
@@ -629,7 +630,9 @@
 
 void receivePing(ClusterState &state, const PeerMessage &message, const Ping &ping, EventContext &context)
 {
-    considerOwnEntry(state, ping.m_targetBoot, ping.m_targetIncarnation, ping.m_targetState, context);
+    if (ping.m_targetState != MemberState::Alive) {
+        considerOwnEntry(state, ping.m_targetBoot, ping.m_targetIncarnation, ping.m_targetState, context);
+    }
     receiveHeartbeat(state, message, ping.m_heartbeat, context);
     const MemberRecord *record = findRecord(state, message.m_sender);
     Ack ack;
--- a/src/cluster_wire.cpp
+++ b/src/cluster_wire.cpp
@@ -87,6 +87,41 @@
     throw cereal::Exception("length above its bound");
 }
 
+/** Variable length, 7 bits a byte from the low end: most numbers here take a few bytes of the 2 KB/s of a node. */
+void putNumber(Output &output, uint64_t value)
+{
+    constexpr uint64_t Continued = 0x80;
+    while (value >= Continued) {
+        put(output, static_cast<uint8_t>(value | Continued));
+        value >>= 7;
+    }
+    put(output, static_cast<uint8_t>(value));
+}
+
+uint64_t getNumber(Input &input)
+{
+    constexpr uint8_t Continued = 0x80;
+    uint64_t value = 0;
+    for (int shift = 0; shift < 64; shift += 7) {
+        const auto byte = get<uint8_t>(input);
+        value |= static_cast<uint64_t>(byte & ~Continued) << shift;
+        if ((byte & Continued) == 0) {
+            return value;
+        }
+    }
+    rejectBytes();
+}
+
+void putRevision(Output &output, int64_t revision)
+{
+    putNumber(output, static_cast<uint64_t>(revision));
+}
+
+int64_t getRevision(Input &input)
+{
+    return static_cast<int64_t>(getNumber(input));
+}
+
 /** A length is checked against the bytes that are left before anything is allocated. */
 std::string_view getView(Input &input, size_t length)
 {
@@ -100,13 +135,13 @@
 
 void putBytes(Output &output, std::string_view bytes)
 {
-    put(output, static_cast<uint32_t>(bytes.size()));
+    putNumber(output, bytes.size());
     output.m_archive(cereal::binary_data(bytes.data(), bytes.size()));
 }
 
 std::string getBytes(Input &input, size_t maxLength)
 {
-    const size_t length = get<uint32_t>(input);
+    const size_t length = getNumber(input);
     if (length > maxLength) {
         rejectBytes();
     }
@@ -169,7 +204,7 @@
 template<typename T, typename Put>
 void putList(Output &output, const std::vector<T> &list, const Put &putElement)
 {
-    put(output, static_cast<uint16_t>(list.size()));
+    putNumber(output, list.size());
     for (const T &element : list) {
         Output record;
         putElement(record, element);
@@ -180,13 +215,13 @@
 template<typename T, typename Get>
 std::vector<T> getList(Input &input, size_t maxCount, const Get &getElement)
 {
-    const size_t count = get<uint16_t>(input);
+    const size_t count = getNumber(input);
     if (count > maxCount) {
         rejectBytes();
     }
     std::vector<T> list;
     for (size_t i = 0; i < count; ++i) {
-        Input record(getView(input, get<uint32_t>(input)));
+        Input record(getView(input, getNumber(input)));
         list.push_back(getElement(record));
     }
     return list;
@@ -207,9 +242,9 @@
     putName(output, member.m_failureDomain);
     put(output, static_cast<uint8_t>(member.m_readiness));
     put(output, static_cast<uint8_t>(member.m_state));
-    put(output, member.m_boot);
-    put(output, member.m_incarnation);
-    put(output, member.m_cursor);
+    putNumber(output, member.m_boot);
+    putNumber(output, member.m_incarnation);
+    putRevision(output, member.m_cursor);
 }
 
 Member getMember(Input &input)
@@ -221,9 +256,9 @@
     member.m_failureDomain = getName(input);
     member.m_readiness = getEnum(input, Readiness::Draining);
     member.m_state = getEnum(input, MemberState::Left);
-    member.m_boot = get<uint64_t>(input);
-    member.m_incarnation = get<uint32_t>(input);
-    member.m_cursor = get<int64_t>(input);
+    member.m_boot = getNumber(input);
+    member.m_incarnation = static_cast<uint32_t>(getNumber(input));
+    member.m_cursor = getRevision(input);
     return member;
 }
 
@@ -243,7 +278,7 @@
 
 void putHeartbeat(Output &output, const Heartbeat &heartbeat)
 {
-    put(output, heartbeat.m_cursor);
+    putRevision(output, heartbeat.m_cursor);
     put(output, heartbeat.m_digest);
     putList(output, heartbeat.m_members, putMember);
     putList(output, heartbeat.m_verdicts, putVerdict);
@@ -252,20 +287,24 @@
 Heartbeat getHeartbeat(Input &input)
 {
     Heartbeat heartbeat;
-    heartbeat.m_cursor = get<int64_t>(input);
+    heartbeat.m_cursor = getRevision(input);
     heartbeat.m_digest = get<uint64_t>(input);
     heartbeat.m_members = getList<Member>(input, MaxMembers, getMember);
     heartbeat.m_verdicts = getList<CrashVerdict>(input, MaxVerdicts, getVerdict);
     return heartbeat;
 }
 
+constexpr uint8_t NoSpread = 0;
+constexpr uint8_t GlobalSpread = 1;
+constexpr uint8_t RegionalSpread = 2;
+
 void putSpread(Output &output, const SpreadHeader &spread)
 {
-    put(output, spread.m_identifier);
+    put(output, static_cast<uint8_t>(spread.m_identifier != 0 ? (spread.m_regional ? RegionalSpread : GlobalSpread) : NoSpread));
     if (spread.m_identifier == 0) {
         return;
     }
-    put(output, static_cast<uint8_t>(spread.m_regional));
+    put(output, spread.m_identifier);
     putAddress(output, spread.m_begin);
     putAddress(output, spread.m_end);
 }
@@ -273,11 +312,12 @@
 SpreadHeader getSpread(Input &input)
 {
     SpreadHeader spread;
-    spread.m_identifier = get<uint64_t>(input);
-    if (spread.m_identifier == 0) {
+    const auto kind = get<uint8_t>(input);
+    if (kind == NoSpread) {
         return spread;
     }
-    spread.m_regional = get<uint8_t>(input) != 0;
+    spread.m_regional = kind == RegionalSpread;
+    spread.m_identifier = get<uint64_t>(input);
     spread.m_begin = getAddress(input);
     spread.m_end = getAddress(input);
     return spread;
@@ -286,7 +326,7 @@
 void putObject(Output &output, const ConfigObject &object)
 {
     putBytes(output, object.m_key);
-    put(output, object.m_revision);
+    putRevision(output, object.m_revision);
     putBytes(output, object.m_content);
 }
 
@@ -294,23 +334,23 @@
 {
     ConfigObject object;
     object.m_key = getBytes(input, MaxConfigKeyBytes);
-    object.m_revision = get<int64_t>(input);
+    object.m_revision = getRevision(input);
     object.m_content = getBytes(input, MaxConfigContentBytes);
     return object;
 }
 
 void putChanges(Output &output, const ConfigChanges &changes)
 {
-    put(output, changes.m_previous);
-    put(output, changes.m_cursor);
+    putRevision(output, changes.m_previous);
+    putRevision(output, changes.m_cursor);
     putList(output, changes.m_objects, putObject);
 }
 
 ConfigChanges getChanges(Input &input)
 {
     ConfigChanges changes;
-    changes.m_previous = get<int64_t>(input);
-    changes.m_cursor = get<int64_t>(input);
+    changes.m_previous = getRevision(input);
+    changes.m_cursor = getRevision(input);
     changes.m_objects = getList<ConfigObject>(input, MaxObjectsPerMessage, getObject);
     return changes;
 }
@@ -318,18 +358,22 @@
 void putBody(Output &output, const Ping &ping)
 {
     put(output, ping.m_probe);
-    put(output, ping.m_targetBoot);
-    put(output, ping.m_targetIncarnation);
     put(output, static_cast<uint8_t>(ping.m_targetState));
+    if (ping.m_targetState != MemberState::Alive) {
+        putNumber(output, ping.m_targetBoot);
+        putNumber(output, ping.m_targetIncarnation);
+    }
     putHeartbeat(output, ping.m_heartbeat);
 }
 
 void getBody(Input &input, Ping &ping)
 {
     ping.m_probe = get<uint32_t>(input);
-    ping.m_targetBoot = get<uint64_t>(input);
-    ping.m_targetIncarnation = get<uint32_t>(input);
     ping.m_targetState = getEnum(input, MemberState::Left);
+    if (ping.m_targetState != MemberState::Alive) {
+        ping.m_targetBoot = getNumber(input);
+        ping.m_targetIncarnation = static_cast<uint32_t>(getNumber(input));
+    }
     ping.m_heartbeat = getHeartbeat(input);
 }
 
@@ -399,12 +443,12 @@
 
 void putBody(Output &output, const ConfigPull &pull)
 {
-    put(output, pull.m_cursor);
+    putRevision(output, pull.m_cursor);
 }
 
 void getBody(Input &input, ConfigPull &pull)
 {
-    pull.m_cursor = get<int64_t>(input);
+    pull.m_cursor = getRevision(input);
 }
 
 void putBody(Output &output, const ConfigBatch &batch)
@@ -441,26 +485,26 @@
 
 void putBody(Output &output, const Call &call)
 {
-    put(output, call.m_call);
+    putNumber(output, call.m_call);
     putBytes(output, call.m_payload);
 }
 
 void getBody(Input &input, Call &call)
 {
-    call.m_call = get<uint64_t>(input);
+    call.m_call = getNumber(input);
     call.m_payload = getBytes(input, MaxCallPayloadBytes);
 }
 
 void putBody(Output &output, const CallAnswer &answer)
 {
-    put(output, answer.m_call);
+    putNumber(output, answer.m_call);
     put(output, static_cast<uint8_t>(answer.m_accepted));
     putBytes(output, answer.m_payload);
 }
 
 void getBody(Input &input, CallAnswer &answer)
 {
-    answer.m_call = get<uint64_t>(input);
+    answer.m_call = getNumber(input);
     answer.m_accepted = get<uint8_t>(input) != 0;
     answer.m_payload = getBytes(input, MaxCallPayloadBytes);
 }
@@ -558,8 +602,8 @@
     get<uint8_t>(input); // key identifier
     header.m_type = get<uint8_t>(input);
     header.m_sender = getAddress(input);
-    header.m_boot = get<uint64_t>(input);
-    header.m_sequence = get<uint64_t>(input);
+    header.m_boot = getNumber(input);
+    header.m_sequence = getNumber(input);
     return header;
 }
 
@@ -659,8 +703,8 @@
     put(output, codec.m_keys.front().m_identifier);
     put(output, static_cast<uint8_t>(messageType(body)));
     putAddress(output, codec.m_self);
-    put(output, boot);
-    put(output, codec.m_sequence[static_cast<size_t>(channel)] + 1);
+    putNumber(output, boot);
+    putNumber(output, codec.m_sequence[static_cast<size_t>(channel)] + 1);
     std::visit([&output](const auto &value) { putBody(output, value); }, body);
     std::string &bytes = output.m_buffer.m_bytes;
     if (bytes.size() + MacBytes > channelLimit(channel)) {
--- a/tests/test_cluster.cpp
+++ b/tests/test_cluster.cpp
@@ -45,7 +45,7 @@
     const SpreadHeader spread{77, true, {"10.0.0.1", 1}, {"10.0.0.9", 65'535}};
     const ConfigChanges changes{{{"config/organisation/a", 11, "content"}, {"config/template/b", 12, ""}}, 10, 12};
     return {
-        Ping{1, 2, 3, MemberState::Failed, heartbeat},
+        Ping{1, MemberState::Failed, 2, 3, heartbeat},
         Ack{4, true, heartbeat},
         PingRequest{5, {"10.0.0.2", 8'081}},
         Membership{spread, true, {makeMember("10.0.0.3")}, {{6, milliseconds(1)}}},
