--- a/src/cluster.h
+++ b/src/cluster.h
@@ -194,9 +194,9 @@
 
 struct Ping {
     uint32_t m_probe = 0;
-    uint64_t m_targetBoot = 0; ///< what the sender knows of the receiver
-    uint32_t m_targetIncarnation = 0;
-    MemberState m_targetState = MemberState::Alive;
+    MemberState m_targetState = MemberState::Alive; ///< what the sender knows of the receiver
+    uint64_t m_targetBoot = 0; ///< only sent when the state is not Alive
+    uint32_t m_targetIncarnation = 0; ///< only sent when the state is not Alive
     Heartbeat m_heartbeat;
 
     bool operator==(const Ping &) const = default;
@@ -379,7 +379,8 @@
 //-----------------------------------------------------------------------------
 
 constexpr milliseconds TickInterval{50};
-constexpr milliseconds ProbeInterval{1'000}; ///< of each of the two probe orders
+constexpr milliseconds RingProbeInterval{1'000}; ///< to the next member in the ring, so that each member is probed by one node
+constexpr milliseconds RandomProbeInterval{2'000}; ///< in random round-robin order, which compares views and cursors
 constexpr milliseconds ProbeTimeout{300}; ///< until other members are asked to probe
 constexpr milliseconds ProbeAnswerLimit{900}; ///< until the member is suspected
 constexpr size_t IndirectProbes = 3;
@@ -392,7 +393,9 @@
 constexpr seconds LeftRetention{120};
 constexpr milliseconds SeedInterval{1'000}; ///< while no other member is known
 constexpr seconds SeedRecheckInterval{10};
-constexpr seconds SyncInterval{10}; ///< at least, between two requests for a whole view
+constexpr milliseconds SyncIntervalPerMember{16}; ///< at least, between two requests for a whole view
+constexpr milliseconds MinSyncInterval{1'000};
+constexpr milliseconds MaxSyncInterval{10'000};
 constexpr milliseconds SpreadTimeout{250}; ///< until a child in the tree gets the message again
 constexpr int SpreadAttempts = 3;
 constexpr milliseconds WatcherStagger{150}; ///< after which the next watcher sends a change that it has not received
@@ -499,7 +502,7 @@
     uint64_t m_heard = 0; ///< messages received
     TimePoint m_lastHeard{}; ///< from any peer
     TimePoint m_lastTick{};
-    TimePoint m_viewChangedAt{};
+    TimePoint m_differsSince{}; ///< of the own view from those of peers; zero: it does not
     int m_missedAcks = 0; ///< recent probes without an answer, less the answered ones
     bool m_started = false;
     bool m_left = false;
--- a/src/cluster_membership.cpp
+++ b/src/cluster_membership.cpp
@@ -21,7 +21,7 @@
 constexpr int MaxMissedAcks = 4; ///< a failed domain must not delay the detection of its members for long
 constexpr int MissedAcksAfterPause = MaxHealthFactor;
 constexpr double MaxAnnounceLoad = 8; ///< trees of others within about a second, above which gossip has to suffice
-constexpr seconds StableTime{3}; ///< without a change, before differing views are compared
+constexpr milliseconds DifferenceTime{1'500}; ///< between two views, before one is pulled; a change spreads in less
 constexpr milliseconds AnnounceDelay{50}; ///< collects changes into one message
 constexpr Duration AnnounceDelayPerMember{300}; ///< spreads announcements of a large event, so that later ones see the earlier
 constexpr Duration JoinDelayPerMember{3'000}; ///< a join is less urgent, and all nodes may start at once
@@ -251,7 +251,6 @@
     known->m_suspectUntil = context.m_now + SuspicionTime;
     known->m_detectedHere = false;
     toggleDigest(state, known->m_member);
-    state.m_viewChangedAt = context.m_now;
     addGossip(state, member.m_address, source);
     if (event) {
         context.m_actions.m_changes.push_back({*event, known->m_member});
@@ -304,7 +303,8 @@
 {
     Ping ping;
     ping.m_probe = probe;
-    if (const MemberRecord *record = findRecord(state, target)) {
+    const MemberRecord *record = findRecord(state, target);
+    if (record && record->m_member.m_state != MemberState::Alive) {
         ping.m_targetBoot = record->m_member.m_boot;
         ping.m_targetIncarnation = record->m_member.m_incarnation;
         ping.m_targetState = record->m_member.m_state;
@@ -381,13 +381,13 @@
 void tickProbes(ClusterState &state, EventContext &context)
 {
     if (context.m_now >= state.m_nextRingProbe) {
-        state.m_nextRingProbe = context.m_now + ProbeInterval;
+        state.m_nextRingProbe = context.m_now + RingProbeInterval;
         if (const auto target = ringSuccessor(state)) {
             startProbe(state, *target, false, context);
         }
     }
     if (context.m_now >= state.m_nextProbe) {
-        state.m_nextProbe = context.m_now + ProbeInterval;
+        state.m_nextProbe = context.m_now + RandomProbeInterval;
         if (const auto target = nextInOrder(state, context.m_random)) {
             startProbe(state, *target, false, context);
         }
@@ -482,6 +482,21 @@
     }
 }
 
+/** Short in a small cluster, whose whole view is small. */
+Duration syncInterval(const ClusterState &state)
+{
+    return std::clamp<Duration>(SyncIntervalPerMember * static_cast<int64_t>(state.m_records.size()), MinSyncInterval, MaxSyncInterval);
+}
+
+void pullView(ClusterState &state, const Address &peer, EventContext &context)
+{
+    const Duration interval = syncInterval(state);
+    state.m_nextSync = context.m_now + interval + jitter(context.m_random, interval);
+    state.m_differsSince = TimePoint{};
+    ++state.m_counters.m_syncs;
+    sendBody(context, peer, MembershipPull{state.m_self});
+}
+
 /** After a pause of this process, missing answers say nothing about others. */
 void noticePause(ClusterState &state, EventContext &context)
 {
@@ -497,6 +512,10 @@
     for (auto &[address, record] : state.m_records) {
         record.m_suspectUntil = std::max(record.m_suspectUntil, context.m_now + SuspicionTime);
     }
+    for (const Address &peer : randomLive(state, 1, state.m_self.m_address, context.m_random)) {
+        // What was announced during the pause may be lost.
+        pullView(state, peer, context);
+    }
     for (PendingSpread &pending : state.m_pending) {
         pending.m_deadline = std::max(pending.m_deadline, context.m_now + SpreadTimeout);
     }
@@ -549,12 +568,11 @@
     state.m_digest = memberDigest(state.m_self);
     state.m_lastTick = context.m_now;
     state.m_lastHeard = context.m_now;
-    state.m_viewChangedAt = context.m_now;
     state.m_announceLoadAt = context.m_now;
     state.m_nextSeed = context.m_now;
-    state.m_nextSync = context.m_now + jitter(context.m_random, SyncInterval);
-    state.m_nextRingProbe = context.m_now + jitter(context.m_random, ProbeInterval);
-    state.m_nextProbe = context.m_now + jitter(context.m_random, ProbeInterval);
+    state.m_nextSync = context.m_now;
+    state.m_nextRingProbe = context.m_now + jitter(context.m_random, RingProbeInterval);
+    state.m_nextProbe = context.m_now + jitter(context.m_random, RandomProbeInterval);
     state.m_nextFailedProbe = context.m_now + FailedProbeInterval;
     state.m_lastProbe = static_cast<uint32_t>(nextRandom(context.m_random));
     tickSeeds(state, context);
@@ -601,14 +619,16 @@
     announceSelfNow(state, context);
 }
 
-void requestSync(ClusterState &state, const Address &peer, uint64_t digest, EventContext &context)
+/** Pulls the whole view of a peer when views have differed for longer than a change takes to spread. */
+void compareViews(ClusterState &state, const Address &peer, uint64_t digest, EventContext &context)
 {
-    if (digest == state.m_digest || context.m_now < state.m_nextSync || context.m_now - state.m_viewChangedAt < StableTime) {
-        return;
+    if (digest == state.m_digest) {
+        state.m_differsSince = TimePoint{};
+    } else if (state.m_differsSince == TimePoint{}) {
+        state.m_differsSince = context.m_now;
+    } else if (context.m_now >= state.m_nextSync && context.m_now - state.m_differsSince >= DifferenceTime) {
+        pullView(state, peer, context);
     }
-    state.m_nextSync = context.m_now + SyncInterval + jitter(context.m_random, SyncInterval);
-    ++state.m_counters.m_syncs;
-    sendBody(context, peer, MembershipPull{state.m_self});
 }
 
 void receiveHeartbeat(ClusterState &state, const PeerMessage &message, const Heartbeat &heartbeat, EventContext &context)
@@ -624,12 +644,14 @@
         record->m_member.m_cursor = std::max(record->m_member.m_cursor, heartbeat.m_cursor);
     }
     noteCursor(state, message.m_sender, heartbeat.m_cursor, context);
-    requestSync(state, message.m_sender, heartbeat.m_digest, context);
+    compareViews(state, message.m_sender, heartbeat.m_digest, context);
 }
 
 void receivePing(ClusterState &state, const PeerMessage &message, const Ping &ping, EventContext &context)
 {
-    considerOwnEntry(state, ping.m_targetBoot, ping.m_targetIncarnation, ping.m_targetState, context);
+    if (ping.m_targetState != MemberState::Alive) {
+        considerOwnEntry(state, ping.m_targetBoot, ping.m_targetIncarnation, ping.m_targetState, context);
+    }
     receiveHeartbeat(state, message, ping.m_heartbeat, context);
     const MemberRecord *record = findRecord(state, message.m_sender);
     Ack ack;
