Collect batch jobs for up to 1 s unless a group is full

Cause: an entry that receives 200 jobs/s wrote 20 groups of 10 jobs each second, and every group costs at least 4 writes. Callers of batch wait up to 1 s for the 202; an idle entry still writes at once.

--- a/src/durable.h
+++ b/src/durable.h
@@ -487,7 +487,12 @@
 //-----------------------------------------------------------------------------
 
 constexpr size_t MaxJobsPerGroup = 200;
-constexpr milliseconds BatchWriteSpacing{50}; ///< between two group writes of one entry under load
+/**
+ * Between two group writes of one entry while groups are not full. A group costs at least 4 writes until it is
+ * deleted, whatever its size, so that small groups would use up the store's rate.
+ */
+constexpr milliseconds BatchWriteSpacing{1'000};
+constexpr milliseconds FullGroupSpacing{50}; ///< between two writes of full groups of one entry
 constexpr size_t MaxWaitingJobs = 20'000; ///< of one entry, not yet durable
 constexpr size_t MaxBatchStoreBytes = 2'000'000'000; ///< groups and results of all entries
 constexpr size_t MaxJobResultBytes = 256 * 1024;
@@ -531,6 +536,7 @@
     BatchUsage m_usage;
     size_t m_maxBytes = MaxBatchStoreBytes;
     std::deque<WaitingJob> m_waiting;
+    size_t m_waitingBytes = 0;
     std::vector<WaitingJob> m_flushing;
     Identifier m_group; ///< of the open write
     WriteTracker m_write;
--- a/src/durable_batch.cpp
+++ b/src/durable_batch.cpp
@@ -62,6 +62,7 @@
         if (bytes > MaxStoreValueBytes) {
             break;
         }
+        accept.m_waitingBytes -= jobBytes(accept.m_waiting.front().m_job);
         accept.m_flushing.push_back(std::move(accept.m_waiting.front()));
         accept.m_waiting.pop_front();
     }
@@ -90,9 +91,20 @@
     startWrite(accept.m_write, std::move(write), time, actions.m_store);
 }
 
+bool isGroupFull(const BatchAccept &accept)
+{
+    return accept.m_waiting.size() >= MaxJobsPerGroup || accept.m_waitingBytes >= MaxStoreValueBytes;
+}
+
+/** An idle entry writes at once, because its last write is long ago. */
+TimePoint nextWrite(const BatchAccept &accept)
+{
+    return accept.m_lastWrite + (isGroupFull(accept) ? FullGroupSpacing : BatchWriteSpacing);
+}
+
 bool isWriteDue(const BatchAccept &accept, const DurableTime &time)
 {
-    return !accept.m_waiting.empty() && !isBusy(accept.m_write) && time.m_now >= accept.m_lastWrite + BatchWriteSpacing;
+    return !accept.m_waiting.empty() && !isBusy(accept.m_write) && time.m_now >= nextWrite(accept);
 }
 
 void writeIfDue(BatchAccept &accept, const DurableTime &time, Random &random, AcceptActions &actions)
@@ -116,6 +128,7 @@
 {
     accept.m_sequenceKey.clear();
     while (!accept.m_flushing.empty()) {
+        accept.m_waitingBytes += jobBytes(accept.m_flushing.back().m_job);
         accept.m_waiting.push_front(std::move(accept.m_flushing.back()));
         accept.m_flushing.pop_back();
     }
@@ -139,6 +152,7 @@
         removeFromUsage(accept.m_usage, waiting.m_job);
     }
     accept.m_waiting.clear();
+    accept.m_waitingBytes = 0;
 }
 
 void putJob(Encoder &encoder, const BatchJob &job)
@@ -245,6 +259,7 @@
         return ticket;
     }
     addToUsage(accept.m_usage, job);
+    accept.m_waitingBytes += jobBytes(job);
     accept.m_waiting.push_back({ticket, std::move(job)});
     writeIfDue(accept, time, random, actions);
     return ticket;
@@ -298,7 +313,7 @@
     }
     if (!accept.m_waiting.empty()) {
         const bool busy = isBusy(accept.m_write);
-        next = std::min<TimePoint>(next, busy ? accept.m_write.m_startedAt + BatchAcceptPatience : accept.m_lastWrite + BatchWriteSpacing);
+        next = std::min<TimePoint>(next, busy ? accept.m_write.m_startedAt + BatchAcceptPatience : nextWrite(accept));
     }
     return std::max(next, now);
 }
