Bound the memory of claims by giving up the oldest answers

Cause: with answers of 200 bytes at 1,000 claims/s the tables of both partitions took 251.42 MB for the window, next to the 256 MB that a node may use for control work, and new answers were no longer kept once 64 MB were reached.

The explorer now reads keys one by one, changes the order of the calls, and checks that no job is stored twice.

--- a/bench/durable_measure.cpp
+++ b/bench/durable_measure.cpp
@@ -344,7 +344,8 @@
     for (const auto &[key, highest] : owner.m_segments) {
         segments += TreeNodeBytes + sizeof(std::string) + sizeof(int64_t) + key.size();
     }
-    return records + owner.m_answerBytes + segments;
+    const size_t answers = owner.m_answerOrder.size() * (sizeof(Identifier) + sizeof(std::string)) + owner.m_answerBytes;
+    return records + answers + segments;
 }
 
 /** Reads of a takeover one after another, with the transfer time of their values. */
--- a/src/durable.h
+++ b/src/durable.h
@@ -22,6 +22,7 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 #include <string>
@@ -284,8 +285,8 @@
 constexpr milliseconds ClaimCommitPatience{1'000}; ///< an open flush older than this refuses new claims
 constexpr milliseconds TakeoverRetry{500}; ///< between two attempts to take a partition
 constexpr size_t MaxPendingClaims = 20'000; ///< entries waiting for a flush
-constexpr size_t MaxClaimsInTable = 800'000; ///< about 100 MB without answers
-constexpr size_t MaxAnswerBytesInTable = 64'000'000; ///< further answers are not kept
+constexpr size_t MaxClaimsInTable = 800'000; ///< about 90 MB without answers
+constexpr size_t MaxAnswerBytesInTable = 24'000'000; ///< the oldest answers are given up for newer ones
 constexpr int64_t TakeoverPageSegments = 256;
 constexpr milliseconds RunGrace{2'000}; ///< added to a holder's own limit before a claim counts as unknown
 
@@ -309,15 +310,15 @@
 
 enum class ClaimState : uint8_t { Pending, InProgress, Released, Done, Unknown };
 
+/** The members are ordered for size: a busy partition holds several hundred thousand records. */
 struct ClaimRecord {
     Identifier m_call;
     Identifier m_holder;
     uint64_t m_bodyHash = 0;
+    TimePoint m_runLimit; ///< after it a claim in progress is answered as unknown
+    std::shared_ptr<const std::string> m_answer; ///< null: not kept
     ClaimState m_state = ClaimState::Pending;
-    bool m_kept = false;
     bool m_reportDurable = false; ///< the report that led to this state is committed
-    std::string m_answer;
-    TimePoint m_runLimit; ///< after it a claim in progress is answered as unknown
 };
 
 enum class OwnerPhase : uint8_t {
@@ -343,6 +344,7 @@
         0,
         [](const Identifier &key) { return static_cast<size_t>(combineHash(key.m_high, key.m_low)); }};
     size_t m_answerBytes = 0; ///< of the answers in m_table
+    std::deque<Identifier> m_answerOrder; ///< keys whose answer was kept, the oldest first
     std::map<std::string, int64_t> m_segments; ///< key of a committed segment -> highest key time in it
     std::deque<ClaimEntry> m_queue; ///< not yet in a write
     size_t m_queuedClaims = 0; ///< claims among m_queue
--- a/src/durable_claims.cpp
+++ b/src/durable_claims.cpp
@@ -86,6 +86,7 @@
     owner.m_highestKeyTime = 0;
     owner.m_table.clear();
     owner.m_answerBytes = 0;
+    owner.m_answerOrder.clear();
     owner.m_segments.clear();
     owner.m_queue.clear();
     owner.m_queuedClaims = 0;
@@ -221,12 +222,36 @@
     return ClaimState::Unknown;
 }
 
-void keepAnswer(ClaimOwner &owner, ClaimRecord &record, bool kept, const std::string &text)
+void dropAnswer(ClaimOwner &owner, ClaimRecord &record)
 {
-    owner.m_answerBytes -= record.m_answer.size();
-    record.m_kept = kept && owner.m_answerBytes + text.size() <= MaxAnswerBytesInTable;
-    record.m_answer = record.m_kept ? text : std::string();
-    owner.m_answerBytes += record.m_answer.size();
+    if (record.m_answer) {
+        owner.m_answerBytes -= record.m_answer->size();
+        record.m_answer.reset();
+    }
+}
+
+/** Callers repeat a request soon or never, so that the oldest answers are the least needed. */
+void makeRoomForAnswer(ClaimOwner &owner, size_t bytes)
+{
+    while (owner.m_answerBytes + bytes > MaxAnswerBytesInTable && !owner.m_answerOrder.empty()) {
+        const auto found = owner.m_table.find(owner.m_answerOrder.front());
+        if (found != owner.m_table.end()) {
+            dropAnswer(owner, found->second);
+        }
+        owner.m_answerOrder.pop_front();
+    }
+}
+
+void keepAnswer(ClaimOwner &owner, const Identifier &key, ClaimRecord &record, bool kept, const std::string &text)
+{
+    dropAnswer(owner, record);
+    if (!kept) {
+        return;
+    }
+    makeRoomForAnswer(owner, text.size());
+    record.m_answer = std::make_shared<const std::string>(text);
+    owner.m_answerBytes += text.size();
+    owner.m_answerOrder.push_back(key);
 }
 
 /** Applies a committed line to the table. Lines come in the order of their commits. */
@@ -243,7 +268,7 @@
     }
     ClaimRecord &record = found->second;
     record.m_state = stateAfter(entry.m_kind);
-    keepAnswer(owner, record, entry.m_kept, entry.m_answer);
+    keepAnswer(owner, entry.m_key, record, entry.m_kept, entry.m_answer);
     record.m_reportDurable = true;
 }
 
@@ -494,9 +519,12 @@
 {
     std::erase_if(owner.m_table, [&](const auto &item) {
         const bool old = item.second.m_state != ClaimState::Pending && keyTime(item.first) <= owner.m_watermark;
-        owner.m_answerBytes -= old ? item.second.m_answer.size() : 0;
+        owner.m_answerBytes -= old && item.second.m_answer ? item.second.m_answer->size() : 0;
         return old;
     });
+    while (!owner.m_answerOrder.empty() && !owner.m_table.contains(owner.m_answerOrder.front())) {
+        owner.m_answerOrder.pop_front();
+    }
 }
 
 void committed(ClaimOwner &owner, const StoreOutcome &outcome, const DurableTime &time, OwnerActions &actions)
@@ -609,8 +637,8 @@
 
 void answerDone(const ClaimRecord &record, const ClaimRequest &request, OwnerActions &actions)
 {
-    if (record.m_kept) {
-        answer(actions, request, ClaimStatus::Done, Reason::None, record.m_answer);
+    if (record.m_answer) {
+        answer(actions, request, ClaimStatus::Done, Reason::None, *record.m_answer);
         return;
     }
     answer(actions, request, ClaimStatus::DoneNotKept, Reason::ClaimAnswerNotKept);
@@ -713,7 +741,7 @@
     record.m_call = report.m_call;
     record.m_state = ClaimState::Released;
     record.m_reportDurable = true;
-    owner.m_table[report.m_key] = record;
+    owner.m_table[report.m_key] = std::move(record);
 }
 
 void applyReport(ClaimOwner &owner, ClaimRecord &record, const ClaimReport &report, TimePoint now)
@@ -722,9 +750,9 @@
     entry.m_kind = entryKind(report.m_kind);
     entry.m_key = report.m_key;
     entry.m_call = report.m_call;
-    keepAnswer(owner, record, report.m_kept, report.m_answer);
-    entry.m_kept = record.m_kept;
-    entry.m_answer = record.m_answer;
+    keepAnswer(owner, report.m_key, record, report.m_kept, report.m_answer);
+    entry.m_kept = report.m_kept;
+    entry.m_answer = report.m_answer;
     record.m_state = stateAfter(entry.m_kind);
     record.m_reportDurable = false;
     enqueue(owner, std::move(entry), now);
--- a/tests/batch_world.h
+++ b/tests/batch_world.h
@@ -29,6 +29,7 @@
     std::map<JobId, std::string> m_seen; ///< first result that a reader saw
     std::map<JobId, int> m_stageRuns; ///< starts of the first stage
     std::set<JobId> m_stageDurable; ///< the store holds the output of the first stage
+    std::map<Identifier, Identifier> m_groupOfJob; ///< by the job's key
     std::set<Identifier> m_deleted;
     FetchTracker m_fetched;
     std::string m_violation;
@@ -182,6 +183,19 @@
     }
 }
 
+inline void checkGroups(BatchWorld &world)
+{
+    for (const StoreItem &item : itemsWithPrefix(world.m_store, groupPrefix())) {
+        const auto jobs = decodeGroup(*bodyOf(item.m_value));
+        const std::optional<Identifier> group = parseIdentifier(item.m_key.substr(groupPrefix().size()));
+        for (const BatchJob &job : *jobs) {
+            if (world.m_groupOfJob.try_emplace(job.m_key, *group).first->second != *group) {
+                fail(world, "a job was stored twice");
+            }
+        }
+    }
+}
+
 inline void takeGroups(BatchWorld &world, int node)
 {
     const std::vector<StoreItem> groups = itemsWithPrefix(world.m_store, groupPrefix());
@@ -209,6 +223,7 @@
 inline void tick(BatchWorld &world)
 {
     world.m_now += milliseconds(600);
+    checkGroups(world);
     if (world.m_nodes[BatchAcceptNode].m_alive) {
         carryOut(world, acceptTimer(world.m_accept, timeOf(world), world.m_random));
     }
--- a/tests/claim_world.h
+++ b/tests/claim_world.h
@@ -213,7 +213,10 @@
         }
         carryOut(world, node, ownerTimer(ownerOf(world, node), time, world.m_random));
     }
-    for (size_t call = 0; call < world.m_calls.size(); ++call) {
+    // The order changes with every tick, so that another call may be the first to reach a new owner.
+    const bool reverse = (world.m_now.time_since_epoch() / WorldTick) % 2 == 1;
+    for (size_t i = 0; i < world.m_calls.size(); ++i) {
+        const size_t call = reverse ? world.m_calls.size() - 1 - i : i;
         ClaimCall &state = world.m_calls[call];
         if (state.m_started && isAlive(world, state.m_node)) {
             carryOut(world, call, holderTimer(state.m_holder, world.m_now));
--- a/tests/explorer.h
+++ b/tests/explorer.h
@@ -277,6 +277,33 @@
     option.m_run();
 }
 
+/** Reads one key (or the page) and goes on with the next: other events may happen between two keys. */
+inline void sendRead(Schedule &schedule,
+                     MemoryStore &store,
+                     const StoreRead &request,
+                     const StoreRange &soFar,
+                     const std::function<void(const StoreRange &)> &read)
+{
+    PendingEvent event;
+    event.m_happen = [&schedule, &store, request, soFar, read] {
+        StoreRead first = request;
+        StoreRead rest = request;
+        if (!request.m_keys.empty()) {
+            first.m_keys.resize(1);
+            rest.m_keys.erase(rest.m_keys.begin());
+        }
+        StoreRange range = readStore(store, first);
+        range.m_items.insert(range.m_items.begin(), soFar.m_items.begin(), soFar.m_items.end());
+        if (!request.m_keys.empty() && !rest.m_keys.empty()) {
+            sendRead(schedule, store, rest, range, read);
+            return;
+        }
+        schedule.m_pending.push_back({[read, range] { read(range); }, {}});
+    };
+    event.m_faults.push_back([request, read] { read(StoreRange{request.m_tag, false, false, {}}); });
+    schedule.m_pending.push_back(std::move(event));
+}
+
 /** Puts store actions of a node on their way. The callbacks receive the answers. */
 inline void sendStoreActions(Schedule &schedule,
                              MemoryStore &store,
@@ -310,13 +337,7 @@
         schedule.m_pending.push_back(std::move(event));
     }
     for (const StoreRead &request : actions.m_reads) {
-        PendingEvent event;
-        event.m_happen = [&schedule, &store, request, read] {
-            const StoreRange range = readStore(store, request);
-            schedule.m_pending.push_back({[read, range] { read(range); }, {}});
-        };
-        event.m_faults.push_back([request, read] { read(StoreRange{request.m_tag, false, false, {}}); });
-        schedule.m_pending.push_back(std::move(event));
+        sendRead(schedule, store, request, StoreRange{request.m_tag, true, false, {}}, read);
     }
 }
 
--- a/tests/test_claims.cpp
+++ b/tests/test_claims.cpp
@@ -116,6 +116,7 @@
     CPPUNIT_TEST(lostGrantIsRepeatedToTheSameCall);
     CPPUNIT_TEST(repeatElsewhereGetsTheStoredAnswer);
     CPPUNIT_TEST(longAnswerIsNotKept);
+    CPPUNIT_TEST(oldAnswersMakeRoomForNewOnes);
     CPPUNIT_TEST(otherBodyIsRefused);
     CPPUNIT_TEST(deadHolderMeansUnknown);
     CPPUNIT_TEST(releasedKeyIsGrantedAgain);
@@ -231,6 +232,22 @@
         CPPUNIT_ASSERT(claim(bench, makeRequest(request.m_key, 2)) == ClaimStatus::DoneNotKept);
     }
 
+    // Guards against a table whose answers use up the memory of the node, and against new answers that are not kept.
+    void oldAnswersMakeRoomForNewOnes()
+    {
+        OwnerBench bench = servingOwner();
+        const uint64_t count = MaxAnswerBytesInTable / MaxKeptAnswerBytes + 10;
+        const std::string answer(MaxKeptAnswerBytes, 'x');
+        for (uint64_t i = 1; i <= count; ++i) {
+            const ClaimRequest request = makeRequest(keyAt(WorldWall, i), i);
+            CPPUNIT_ASSERT(claim(bench, request) == ClaimStatus::Granted);
+            report(bench, request, ClaimReportKind::Result, answer);
+            CPPUNIT_ASSERT(bench.m_owner.m_answerBytes <= MaxAnswerBytesInTable);
+        }
+        CPPUNIT_ASSERT(claim(bench, makeRequest(keyAt(WorldWall, 1), count + 1)) == ClaimStatus::DoneNotKept);
+        CPPUNIT_ASSERT(claim(bench, makeRequest(keyAt(WorldWall, count), count + 2)) == ClaimStatus::Done);
+    }
+
     // Guards against the answer of one request given to another that reuses its key.
     void otherBodyIsRefused()
     {
