--- a/src/durable.h
+++ b/src/durable.h
@@ -22,6 +22,7 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 #include <string>
@@ -276,14 +277,16 @@
 
 constexpr milliseconds ClaimWindow{15 * 60 * 1'000};
 constexpr milliseconds MaxKeyAhead{15 * 60 * 1'000}; ///< bounds how long a key with a wrong time stays in the table
-constexpr milliseconds ClaimFlushSpacing{35}; ///< between the starts of two flushes under load
+constexpr milliseconds ClaimFlushSpacing{35}; ///< between the starts of two flushes with few claims
+constexpr size_t ClaimsPerFlush = 12; ///< a flush with at least as many need not wait: at most 0.083 writes a claim
+constexpr milliseconds MinFlushSpacing{10}; ///< between the starts of any two flushes
 constexpr milliseconds ResultFlushDelay{1'000}; ///< a result alone waits this long for a flush to share
 constexpr milliseconds WatermarkSpacing{30'000}; ///< how often the watermark is raised
 constexpr milliseconds ClaimCommitPatience{1'000}; ///< an open flush older than this refuses new claims
 constexpr milliseconds TakeoverRetry{500}; ///< between two attempts to take a partition
 constexpr size_t MaxPendingClaims = 20'000; ///< entries waiting for a flush
-constexpr size_t MaxClaimsInTable = 800'000; ///< about 100 MB without answers
-constexpr size_t MaxAnswerBytesInTable = 64'000'000; ///< further answers are not kept
+constexpr size_t MaxClaimsInTable = 800'000; ///< about 90 MB without answers
+constexpr size_t MaxAnswerBytesInTable = 24'000'000; ///< the oldest answers are given up for newer ones
 constexpr int64_t TakeoverPageSegments = 256;
 constexpr milliseconds RunGrace{2'000}; ///< added to a holder's own limit before a claim counts as unknown
 
@@ -307,15 +310,15 @@
 
 enum class ClaimState : uint8_t { Pending, InProgress, Released, Done, Unknown };
 
+/** The members are ordered for size: a busy partition holds several hundred thousand records. */
 struct ClaimRecord {
     Identifier m_call;
     Identifier m_holder;
     uint64_t m_bodyHash = 0;
+    TimePoint m_runLimit; ///< after it a claim in progress is answered as unknown
+    std::shared_ptr<const std::string> m_answer; ///< null: not kept
     ClaimState m_state = ClaimState::Pending;
-    bool m_kept = false;
     bool m_reportDurable = false; ///< the report that led to this state is committed
-    std::string m_answer;
-    TimePoint m_runLimit; ///< after it a claim in progress is answered as unknown
 };
 
 enum class OwnerPhase : uint8_t {
@@ -341,6 +344,7 @@
         0,
         [](const Identifier &key) { return static_cast<size_t>(combineHash(key.m_high, key.m_low)); }};
     size_t m_answerBytes = 0; ///< of the answers in m_table
+    std::deque<Identifier> m_answerOrder; ///< keys whose answer was kept, the oldest first
     std::map<std::string, int64_t> m_segments; ///< key of a committed segment -> highest key time in it
     std::deque<ClaimEntry> m_queue; ///< not yet in a write
     size_t m_queuedClaims = 0; ///< claims among m_queue
@@ -485,7 +489,12 @@
 //-----------------------------------------------------------------------------
 
 constexpr size_t MaxJobsPerGroup = 200;
-constexpr milliseconds BatchWriteSpacing{50}; ///< between two group writes of one entry under load
+/**
+ * Between two group writes of one entry while groups are not full. A group costs at least 4 writes until it is
+ * deleted, whatever its size, so that small groups would use up the store's rate.
+ */
+constexpr milliseconds BatchWriteSpacing{1'000};
+constexpr milliseconds FullGroupSpacing{50}; ///< between two writes of full groups of one entry
 constexpr size_t MaxWaitingJobs = 20'000; ///< of one entry, not yet durable
 constexpr size_t MaxBatchStoreBytes = 2'000'000'000; ///< groups and results of all entries
 constexpr size_t MaxJobResultBytes = 256 * 1024;
@@ -529,6 +538,7 @@
     BatchUsage m_usage;
     size_t m_maxBytes = MaxBatchStoreBytes;
     std::deque<WaitingJob> m_waiting;
+    size_t m_waitingBytes = 0;
     std::vector<WaitingJob> m_flushing;
     Identifier m_group; ///< of the open write
     WriteTracker m_write;
