--- a/src/entry.h
+++ b/src/entry.h
@@ -265,6 +265,8 @@
 absl::StatusOr<std::shared_ptr<Entry>> startEntry(const Settings &settings, Clock &clock, EntryParts parts = {});
 /** Address in use; the settings may ask for any port with port 0 in tests. */
 Address listenAddress(const Entry &entry);
+/** Address for other entries; port 0 without peers. */
+Address peerAddress(const Entry &entry);
 Blackboard &blackboard(Entry &entry);
 /** Drains: readiness falls, accepted requests end, then the listener closes. @return requests left at the limit. */
 int64_t stopEntry(Entry &entry);
--- a/src/entry_process.cpp
+++ b/src/entry_process.cpp
@@ -36,12 +36,37 @@
 // [SECTION] Listener
 //-----------------------------------------------------------------------------
 
+// The library listens with a backlog of 5, which loses connections in a burst; a second listen() raises it.
+struct PlainServer : httplib::Server {
+    void raiseBacklog()
+    {
+        ::listen(svr_sock_, SOMAXCONN);
+    }
+};
+
+struct TlsServer : httplib::SSLServer {
+    using httplib::SSLServer::SSLServer;
+    void raiseBacklog()
+    {
+        ::listen(svr_sock_, SOMAXCONN);
+    }
+};
+
 std::unique_ptr<httplib::Server> makeServer(const Settings &settings)
 {
     if (settings.m_tlsCertificate.empty()) {
-        return std::make_unique<httplib::Server>();
+        return std::make_unique<PlainServer>();
+    }
+    return std::make_unique<TlsServer>(settings.m_tlsCertificate.c_str(), settings.m_tlsKey.c_str());
+}
+
+void raiseBacklog(httplib::Server &server)
+{
+    if (auto *plain = dynamic_cast<PlainServer *>(&server)) {
+        plain->raiseBacklog();
+    } else if (auto *tls = dynamic_cast<TlsServer *>(&server)) {
+        tls->raiseBacklog();
     }
-    return std::make_unique<httplib::SSLServer>(settings.m_tlsCertificate.c_str(), settings.m_tlsKey.c_str());
 }
 
 absl::Status bindServer(Entry &entry)
@@ -58,6 +83,9 @@
     } else {
         bound = entry.m_server->bind_to_port(wanted.m_host, wanted.m_port);
     }
+    if (bound) {
+        raiseBacklog(*entry.m_server);
+    }
     return bound ? absl::OkStatus() : absl::UnavailableError(fmt::format("cannot listen on {}", toString(wanted)));
 }
 
@@ -274,6 +302,11 @@
     return entry.m_address;
 }
 
+Address peerAddress(const Entry &entry)
+{
+    return entry.m_transport ? localAddress(*entry.m_transport) : Address();
+}
+
 Blackboard &blackboard(Entry &entry)
 {
     return entry.m_board;
--- a/src/policy_outcome.cpp
+++ b/src/policy_outcome.cpp
@@ -32,12 +32,13 @@
     if (evidence.m_cancelled) {
         return Reason::CallerGone;
     }
+    // Silence on a kept connection speaks against the connection; on a fresh one it speaks against the upstream.
+    if (evidence.m_silent && (evidence.m_reusedConnection || !evidence.m_timedOut)) {
+        return Reason::ConnectionSilent;
+    }
     if (evidence.m_timedOut) {
         return Reason::AttemptTimeout;
     }
-    if (evidence.m_silent) {
-        return Reason::ConnectionSilent;
-    }
     if (!evidence.m_connected) {
         return Reason::ConnectFailed;
     }
