Keep limits from growing on a queue that always stands

A new test with four entries and an upstream that never rejects showed limits that grew to their maximum: the lowest latency was measured while a queue stood, and each window took a higher one.

Tests for the wait of later stages, preempted requests, the throughput of batch and the room behind a place are added.

--- a/src/policy.h
+++ b/src/policy.h
@@ -263,7 +263,7 @@
     double m_tolerance = 1.6; ///< latency above this multiple of the lowest means congestion
     double m_smallTolerance = 1.2; ///< added for a limit of 1; shrinks with the root of the limit (Kumar et al.: Swift, 2020)
     double m_increase = 0.5; ///< requests per limit's worth of successes
-    double m_decrease = 0.5; ///< lowest factor on congestion
+    double m_decrease = 0.4; ///< lowest factor on congestion
     double m_rejectedDecrease = 0.5; ///< factor on a rejection
     Duration m_baselineWindow = seconds(60); ///< the lowest latency is forgotten after one to two windows
 
@@ -276,7 +276,8 @@
     double m_lowest = 0; ///< lowest moving mean of the current window, seconds; 0: none
     double m_lowestBefore = 0; ///< lowest moving mean of the window before, seconds; 0: none
     TimePoint m_windowEnd;
-    double m_recent = 0; ///< moving mean of the latency, seconds
+    double m_recent = 0; ///< moving mean of the latency since the last decrease, seconds
+    uint32_t m_samples = 0; ///< in m_recent
     TimePoint m_nextDecrease; ///< decreases before this time answer the same congestion
     TimePoint m_nextOpen; ///< earliest next request while the limit is below 1
 
--- a/src/policy_limits.cpp
+++ b/src/policy_limits.cpp
@@ -11,6 +11,10 @@
 constexpr double MicrosecondsPerSecond = 1e6;
 constexpr double RecentGain = 0.1; ///< weight of a new latency sample
 constexpr double FullUse = 0.8; ///< share of the limit that must be in use before it grows
+constexpr uint32_t MinMeanSamples = 8; ///< before a mean counts as lowest or as congestion
+/// Share of the work that was open at the lowest latency to which congestion reduces the limit. Below 1, so that a queue which
+/// already stood when the lowest latency was measured shrinks from decrease to decrease instead of growing.
+constexpr double Undershoot = 0.9;
 constexpr Duration MinDecreaseGap = milliseconds(10);
 constexpr Duration ConcurrencyRetryAfter = milliseconds(200);
 
@@ -80,7 +84,8 @@
         return;
     }
     limit.m_limit = std::max(std::min(minimum, limit.m_limit), limit.m_limit * factor);
-    // Answers to requests opened before this decrease still show the congestion that it removes.
+    // Answers to requests opened before this decrease still show the congestion that it removes, so they are left out.
+    limit.m_samples = 0;
     limit.m_nextDecrease = now + std::max(MinDecreaseGap, fromSeconds(2 * limit.m_recent));
 }
 
@@ -104,9 +109,12 @@
 void recordLatency(AdaptiveLimit &limit, Duration latency)
 {
     const double value = std::max(toSeconds(latency), 1 / MicrosecondsPerSecond);
-    limit.m_recent = limit.m_recent > 0 ? limit.m_recent + RecentGain * (value - limit.m_recent) : value;
+    limit.m_samples += 1;
+    limit.m_recent += std::max(RecentGain, 1.0 / limit.m_samples) * (value - limit.m_recent);
     // A single short request would set a bound that the average one can never meet, so the lowest mean counts.
-    limit.m_lowest = limit.m_lowest > 0 ? std::min(limit.m_lowest, limit.m_recent) : limit.m_recent;
+    if (limit.m_samples >= MinMeanSamples) {
+        limit.m_lowest = limit.m_lowest > 0 ? std::min(limit.m_lowest, limit.m_recent) : limit.m_recent;
+    }
 }
 
 } // namespace
@@ -171,12 +179,16 @@
         decrease(limit, settings.m_rejectedDecrease, settings.m_minimum, now);
         return;
     }
+    if (now < limit.m_nextDecrease) {
+        return;
+    }
     rotateWindow(limit, settings, now);
     recordLatency(limit, sample.m_latency);
-    if (limit.m_recent > toleranceOf(limit, settings) * baseline(limit)) {
+    const bool measured = limit.m_samples >= MinMeanSamples;
+    if (measured && limit.m_recent > toleranceOf(limit, settings) * baseline(limit)) {
         // By Little's law this factor empties the queue on the upstream, so that the lowest latency can be seen again. Latency
         // is noisy, so it does not take the last request away; only rejections do.
-        const double factor = std::max(settings.m_decrease, baseline(limit) / limit.m_recent);
+        const double factor = std::max(settings.m_decrease, Undershoot * baseline(limit) / limit.m_recent);
         decrease(limit, factor, std::max(1.0, settings.m_minimum), now);
         return;
     }
--- a/tests/test_policy_admission.cpp
+++ b/tests/test_policy_admission.cpp
@@ -49,6 +49,9 @@
     CPPUNIT_TEST(preemptionStopsAtTheAllowance);
     CPPUNIT_TEST(guaranteedBatchIsNotPreempted);
     CPPUNIT_TEST(withdrawnRequestNeverStarts);
+    CPPUNIT_TEST(laterStageIsCountedBeforeTheFirst);
+    CPPUNIT_TEST(preemptedRequestContinuesFirst);
+    CPPUNIT_TEST(batchWaitFollowsMeasuredThroughput);
     CPPUNIT_TEST(everyRequestEndsOnce);
     CPPUNIT_TEST_SUITE_END();
 
@@ -282,6 +285,69 @@
         CPPUNIT_ASSERT(actions.m_start == std::vector<uint64_t>{2});
     }
 
+    // Guards against a first stage that is run for a request which the second stage's queue must refuse.
+    void laterStageIsCountedBeforeTheFirst()
+    {
+        Admission second;
+        teachService(second, seconds(1));
+        second.m_nextProbe = Start + seconds(1000);
+        AdmissionActions actions;
+        for (uint64_t i = 0; i < 100; ++i) {
+            enqueueRequest(second, makeRequest(i, RequestClass::Urgent), Start);
+            dispatchRequests(second, 2, Start, actions);
+        }
+        AdmissionRequest request = makeRequest(1000, RequestClass::Urgent);
+        CPPUNIT_ASSERT(enqueueRequest(second, request, Start) == Reason::DeadlineUnreachable);
+        Admission first;
+        first.m_nextProbe = Start + seconds(1000);
+        request.m_remaining = expectedTime(second, request, Start);
+        CPPUNIT_ASSERT(enqueueRequest(first, request, Start) == Reason::DeadlineUnreachable);
+    }
+
+    // Guards against a preempted run whose progress is lost in a full or long queue.
+    void preemptedRequestContinuesFirst()
+    {
+        Admission admission;
+        admission.m_settings.m_maxQueuedBatch = 3;
+        AdmissionActions actions;
+        for (uint64_t i = 0; i < 3; ++i) {
+            enqueueRequest(admission, makeRequest(i, RequestClass::Batch), Start);
+        }
+        AdmissionRequest resumed = makeRequest(9, RequestClass::Batch);
+        resumed.m_resumed = true;
+        CPPUNIT_ASSERT(enqueueRequest(admission, resumed, Start) == Reason::None);
+        dispatchRequests(admission, 1, Start, actions);
+        CPPUNIT_ASSERT(actions.m_start == std::vector<uint64_t>{9});
+    }
+
+    // Guards against a batch queue that accepts more than batch gets through while urgent work takes the places.
+    void batchWaitFollowsMeasuredThroughput()
+    {
+        Admission admission;
+        AdmissionActions actions;
+        TimePoint at = Start;
+        for (uint64_t i = 0; i < 400; ++i) {
+            at += milliseconds(500);
+            AdmissionRequest request = makeRequest(i, RequestClass::Batch);
+            request.m_deadline = at + seconds(60);
+            enqueueRequest(admission, request, at);
+            dispatchRequests(admission, 10, at, actions);
+            for (const uint64_t id : actions.m_start) {
+                finishRequest(admission, id, Finish::Useful, at + milliseconds(100));
+            }
+        }
+        // Two requests a second were served, although ten places of 0.1 s would serve a hundred.
+        for (uint64_t i = 1000; i < 1010; ++i) {
+            AdmissionRequest request = makeRequest(i, RequestClass::Batch);
+            request.m_deadline = at + seconds(60);
+            enqueueRequest(admission, request, at);
+        }
+        admission.m_capacity = 0;
+        const AdmissionRequest next = makeRequest(2000, RequestClass::Batch);
+        const Duration wait = expectedWait(admission, next, at);
+        CPPUNIT_ASSERT(wait > seconds(4) && wait < seconds(6));
+    }
+
     // Guards against requests that are lost, started twice, or left in the counters (random events, 20 seeds).
     void everyRequestEndsOnce()
     {
--- a/tests/test_policy_limits.cpp
+++ b/tests/test_policy_limits.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <cmath>
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -41,6 +42,8 @@
     CPPUNIT_TEST(limitBelowOneSpacesRequests);
     CPPUNIT_TEST(limitStaysInBounds);
     CPPUNIT_TEST(newBaselineIsLearnt);
+    CPPUNIT_TEST(entriesShareEvenly);
+    CPPUNIT_TEST(deadReplicaKeepsItsLimit);
     CPPUNIT_TEST_SUITE_END();
 
     // Guards against an organisation that exceeds its rate over time.
@@ -193,6 +196,50 @@
         }
         CPPUNIT_ASSERT(limit.m_limit > 4);
     }
+
+    // Guards against an entry that keeps most of an upstream because it came first.
+    void entriesShareEvenly()
+    {
+        const LimitSettings settings;
+        std::vector<AdaptiveLimit> limits(4, makeAdaptiveLimit(settings));
+        limits[0].m_limit = 100;
+        for (size_t i = 1; i < limits.size(); ++i) {
+            limits[i].m_limit = 2;
+        }
+        constexpr double Capacity = 64;
+        TimePoint at = Start;
+        for (int round = 0; round < 4000; ++round) {
+            double total = 0;
+            for (const AdaptiveLimit &limit : limits) {
+                total += std::floor(limit.m_limit);
+            }
+            const Duration latency = Duration(static_cast<int64_t>(100'000 * std::max(1.0, total / Capacity)));
+            at += latency;
+            for (AdaptiveLimit &limit : limits) {
+                const auto open = static_cast<uint32_t>(limit.m_limit);
+                for (uint32_t i = 0; i < open; ++i) {
+                    observeSample(limit, settings, success(latency, open), at);
+                }
+            }
+        }
+        for (const AdaptiveLimit &limit : limits) {
+            CPPUNIT_ASSERT(limit.m_limit > 8 && limit.m_limit < 64);
+        }
+    }
+
+    // Guards against a limit that collapses while a replica is down and is still closed when it is back.
+    void deadReplicaKeepsItsLimit()
+    {
+        const LimitSettings settings;
+        AdaptiveLimit limit = makeAdaptiveLimit(settings);
+        for (const Reason reason : {Reason::ConnectFailed, Reason::ConnectionLost, Reason::UpstreamError, Reason::CallerGone}) {
+            const LimitSignal signal = limitSignal({Outcome::Unknown, reason});
+            observeSample(limit, settings, {signal, milliseconds(1), 16}, Start);
+        }
+        CPPUNIT_ASSERT_EQUAL(settings.m_initial, limit.m_limit);
+        CPPUNIT_ASSERT(limitSignal({Outcome::NotRun, Reason::UpstreamOverloaded}) == LimitSignal::Rejected);
+        CPPUNIT_ASSERT(limitSignal({Outcome::Unknown, Reason::AttemptTimeout}) == LimitSignal::Failed);
+    }
 };
 
 CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(PolicyLimitsTest, "policy_limits");
--- a/tests/test_policy_routing.cpp
+++ b/tests/test_policy_routing.cpp
@@ -65,6 +65,7 @@
     CPPUNIT_TEST(lostEvictionExpires);
     CPPUNIT_TEST(prefixIndexKeepsItsSize);
     CPPUNIT_TEST(organisationsShareNoPrefix);
+    CPPUNIT_TEST(capacityMeansRoom);
     CPPUNIT_TEST(subsetCoversEvenly);
     CPPUNIT_TEST(subsetMovesLittle);
     CPPUNIT_TEST(smallFleetUsesEverything);
@@ -290,6 +291,27 @@
         CPPUNIT_ASSERT_EQUAL(size_t(0), prefixChain("short", 1).m_count);
     }
 
+    // Guards against a request that gets a place while no replica can take it (200 seeds).
+    void capacityMeansRoom()
+    {
+        for (uint64_t seed = 1; seed <= 200; ++seed) {
+            Random random{seed};
+            std::vector<Candidate> candidates = makeCandidates(1 + uniformBelow(random, 12));
+            double open = 0;
+            for (Candidate &candidate : candidates) {
+                AdaptiveLimit limit;
+                limit.m_limit = 0.05 + 8 * uniformReal(random);
+                candidate.m_limit = limit.m_limit;
+                candidate.m_open = static_cast<uint32_t>(uniformBelow(random, 9));
+                candidate.m_usable = uniformBelow(random, 4) > 0 && hasRoom(limit, candidate.m_open, Start);
+                open += candidate.m_open;
+            }
+            if (open < poolCapacity(candidates)) {
+                CPPUNIT_ASSERT(chooseReplica(candidates, {}, nullptr, Defaults, Start, random).has_value());
+            }
+        }
+    }
+
     // Guards against replicas that no node or too many nodes use.
     void subsetCoversEvenly()
     {
