--- a/src/policy.h
+++ b/src/policy.h
@@ -141,6 +141,7 @@
     size_t m_size = 0; ///< requests waiting
     double m_cost = 0; ///< work waiting
     double m_weight = 0; ///< sum of the weights of the organisations with waiting requests
+    size_t m_forgetAt = 64; ///< number of organisations at which the idle ones are forgotten
 
     bool operator==(const FairQueue &) const = default;
 };
--- a/src/policy_admission.cpp
+++ b/src/policy_admission.cpp
@@ -12,6 +12,7 @@
 constexpr double EstimateGain = 0.05; ///< weight of a new sample
 constexpr double MinWeight = 1e-3; ///< keeps start tags finite for an organisation of weight 0
 constexpr double MinCost = 1e-3;
+constexpr size_t MinForget = 64; ///< organisations
 constexpr double MaxBatchCredit = 4; ///< cost units; a longer wait earns no larger burst of batch
 /// The service estimate is used for refusals only after this many samples.
 constexpr uint64_t MinEstimateSamples = 10;
@@ -81,15 +82,24 @@
     }
 }
 
-/** Forgets organisations without waiting requests whose last start lies in the virtual past. */
+/**
+ * Forgets organisations without waiting requests whose last start lies in the virtual past. Runs when their number has
+ * doubled, so that its cost for each request stays constant.
+ */
 void forgetIdle(FairQueue &queue)
 {
-    std::erase_if(queue.m_queues, [&](const auto &entry) {
-        return entry.second.m_requests.empty() && (queue.m_size == 0 || entry.second.m_finishTag <= queue.m_virtualTime);
-    });
     if (queue.m_size == 0) {
+        queue.m_queues.clear();
         queue.m_virtualTime = 0;
+        queue.m_forgetAt = MinForget;
+        return;
+    }
+    if (queue.m_queues.size() < queue.m_forgetAt) {
+        return;
     }
+    std::erase_if(queue.m_queues,
+                  [&](const auto &entry) { return entry.second.m_requests.empty() && entry.second.m_finishTag <= queue.m_virtualTime; });
+    queue.m_forgetAt = std::max(MinForget, 2 * queue.m_queues.size());
 }
 
 void pushRequest(FairQueue &queue, const AdmissionRequest &request)
