--- a/bench/bench_policy.cpp
+++ b/bench/bench_policy.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cmath>
 
+#include <fmt/format.h>
+
 #include "report.h"
 #include "simulation.h"
 
@@ -76,14 +78,14 @@
 {
     for (size_t i = 0; i < result.m_losses.size(); ++i) {
         if (result.m_losses[i] > 0) {
-            const std::string reason(toString(static_cast<Reason>(i)));
-            run.m_figures.push_back({name + ".lost." + reason, static_cast<double>(result.m_losses[i]), "requests"});
+            const std::string figure = fmt::format("{}.lost.{}", name, toString(static_cast<Reason>(i)));
+            run.m_figures.push_back({figure, static_cast<double>(result.m_losses[i]), "requests"});
         }
     }
     for (size_t i = 0; i < result.m_batchLosses.size(); ++i) {
         if (result.m_batchLosses[i] > 0) {
-            const std::string reason(toString(static_cast<Reason>(i)));
-            run.m_figures.push_back({name + ".batch_lost." + reason, static_cast<double>(result.m_batchLosses[i]), "requests"});
+            const std::string figure = fmt::format("{}.batch_lost.{}", name, toString(static_cast<Reason>(i)));
+            run.m_figures.push_back({figure, static_cast<double>(result.m_batchLosses[i]), "requests"});
         }
     }
     run.m_figures.push_back({name + ".batch_answered", static_cast<double>(result.m_batchAnswered), "requests"});
