--- a/src/policy.h
+++ b/src/policy.h
@@ -141,6 +141,7 @@
     size_t m_size = 0; ///< requests waiting
     double m_cost = 0; ///< work waiting
     double m_weight = 0; ///< sum of the weights of the organisations with waiting requests
+    size_t m_forgetAt = 64; ///< number of organisations at which the idle ones are forgotten
 
     bool operator==(const FairQueue &) const = default;
 };
@@ -263,7 +264,7 @@
     double m_tolerance = 1.6; ///< latency above this multiple of the lowest means congestion
     double m_smallTolerance = 1.2; ///< added for a limit of 1; shrinks with the root of the limit (Kumar et al.: Swift, 2020)
     double m_increase = 0.5; ///< requests per limit's worth of successes
-    double m_decrease = 0.5; ///< lowest factor on congestion
+    double m_decrease = 0.4; ///< lowest factor on congestion
     double m_rejectedDecrease = 0.5; ///< factor on a rejection
     Duration m_baselineWindow = seconds(60); ///< the lowest latency is forgotten after one to two windows
 
@@ -276,7 +277,8 @@
     double m_lowest = 0; ///< lowest moving mean of the current window, seconds; 0: none
     double m_lowestBefore = 0; ///< lowest moving mean of the window before, seconds; 0: none
     TimePoint m_windowEnd;
-    double m_recent = 0; ///< moving mean of the latency, seconds
+    double m_recent = 0; ///< moving mean of the latency since the last decrease, seconds
+    uint32_t m_samples = 0; ///< in m_recent
     TimePoint m_nextDecrease; ///< decreases before this time answer the same congestion
     TimePoint m_nextOpen; ///< earliest next request while the limit is below 1
 
