--- a/src/store.h
+++ b/src/store.h
@@ -142,7 +142,7 @@
 /** Every event above the previous batch's m_revision up to and including m_revision. */
 struct WatchBatch {
     int64_t m_revision = 0;
-    std::vector<WatchEvent> m_events; ///< in revision order; empty: progress notification
+    std::vector<WatchEvent> m_events; ///< in revision order; empty: the watch has opened, or a progress notification
 };
 
 /** Receives events in order. Returning false ends the watch. */
--- a/src/store_etcd.cpp
+++ b/src/store_etcd.cpp
@@ -381,6 +381,7 @@
 /** Reads the answers of one watch stream, one JSON object a line. */
 struct WatchStream {
     const WatchSink &m_sink;
+    int64_t m_startRevision = 0;
     std::string m_line;
     bool m_ended = false; ///< the sink has had enough
     absl::Status m_status; ///< what the store said
@@ -419,10 +420,12 @@
         stream.m_status = absl::UnavailableError("the store cancelled the watch");
         return false;
     }
-    if (readFlag(result, "created")) {
-        return true;
+    WatchBatch batch = readWatchBatch(result);
+    if (readFlag(result, "created") && stream.m_startRevision > 0) {
+        // The header shows the present revision, and events up to it are still to come.
+        batch.m_revision = stream.m_startRevision - 1;
     }
-    stream.m_ended = !stream.m_sink(readWatchBatch(result));
+    stream.m_ended = !stream.m_sink(batch);
     return !stream.m_ended;
 }
 
@@ -489,7 +492,7 @@
     if (request.m_startRevision > 0) {
         create["start_revision"] = std::to_string(request.m_startRevision);
     }
-    WatchStream stream{sink, {}, false, absl::OkStatus()};
+    WatchStream stream{sink, request.m_startRevision, {}, false, absl::OkStatus()};
     int httpStatus = 200;
     httplib::Request post;
     post.method = "POST";
--- a/tests/test_store.cpp
+++ b/tests/test_store.cpp
@@ -115,6 +115,7 @@
     CPPUNIT_TEST(gatewayKeepsLeases);
     CPPUNIT_TEST(gatewayWatchDeliversInOrderAndStops);
     CPPUNIT_TEST(gatewayWatchReportsCompaction);
+    CPPUNIT_TEST(quietWatchIsNotAnOutage);
     CPPUNIT_TEST(gatewayTriesTheNextEndpoint);
     CPPUNIT_TEST(gatewayCallEndsAtItsDeadline);
     CPPUNIT_TEST(gatewayErrorsAreClassified);
@@ -269,6 +270,28 @@
         CPPUNIT_ASSERT(absl::IsOutOfRange(old.status()));
     }
 
+    // Guards against a breaker that opens because a prefix has no events for a while.
+    void quietWatchIsNotAnOutage()
+    {
+        RemoteStore remote;
+        EtcdOptions options;
+        options.m_endpoints = {remote.m_server->m_address};
+        options.m_watchIdleLimit = milliseconds(400); // below the progress interval of the stand-in
+        options.m_guard.m_clock = &remote.m_clock;
+        const Store store = makeEtcdStore(options);
+        StopSignal stop;
+        int opened = 0;
+        const auto sink = [&opened](const WatchBatch &batch) {
+            ++opened;
+            return batch.m_events.empty();
+        };
+        for (int i = 0; i <= BreakerThreshold; ++i) {
+            CPPUNIT_ASSERT(!store.m_watch({StorePurpose::Configuration, "quiet/", 1}, sink, stop).ok());
+        }
+        CPPUNIT_ASSERT(opened > 0);
+        CPPUNIT_ASSERT(store.m_range(keyRange(StorePurpose::Configuration, "k")).ok());
+    }
+
     // Guards against a node that depends on the one endpoint it tried first.
     void gatewayTriesTheNextEndpoint()
     {
