--- a/src/standins_store.cpp
+++ b/src/standins_store.cpp
@@ -471,7 +471,7 @@
 struct WatchCursor {
     std::string m_prefix;
     int64_t m_next = 0;
-    std::chrono::steady_clock::time_point m_progressAt;
+    TimePoint m_progressAt; ///< when an empty batch is due
 };
 
 /** Blocks until there are events, progress is due, or the watch ends. Nothing: ended. */
@@ -483,7 +483,7 @@
         if (state.m_faults.m_outage) {
             return absl::UnavailableError("the stand-in store is down");
         }
-        const bool due = std::chrono::steady_clock::now() >= cursor.m_progressAt;
+        const bool due = now(*state.m_clock) >= cursor.m_progressAt;
         if ((state.m_revision >= cursor.m_next || due) && !state.m_faults.m_silent) {
             absl::StatusOr<WatchBatch> batch = eventsNow(state, cursor.m_prefix, cursor.m_next);
             if (!batch.ok()) {
@@ -491,7 +491,7 @@
             }
             cursor.m_next = batch->m_revision + 1;
             if (!batch->m_events.empty() || due) {
-                cursor.m_progressAt = std::chrono::steady_clock::now() + ProgressInterval;
+                cursor.m_progressAt = now(*state.m_clock) + ProgressInterval;
                 return std::optional<WatchBatch>(std::move(*batch));
             }
         }
@@ -500,11 +500,11 @@
     return std::optional<WatchBatch>();
 }
 
-WatchCursor openWatch(KeyValueState &state, const std::string &prefix, int64_t startRevision)
+WatchCursor openWatch(KeyValueState &state, const std::string &prefix, int64_t startRevision, Duration untilProgress)
 {
     const std::lock_guard lock(state.m_mutex);
     ++state.m_openWatches;
-    return {prefix, startRevision > 0 ? startRevision : state.m_revision + 1, std::chrono::steady_clock::now() + ProgressInterval};
+    return {prefix, startRevision > 0 ? startRevision : state.m_revision + 1, now(*state.m_clock) + untilProgress};
 }
 
 void closeWatch(KeyValueState &state)
@@ -558,7 +558,7 @@
     if (fate != Fate::Serve) {
         return statusOf(fate);
     }
-    WatchCursor cursor = openWatch(state, request.m_prefix, request.m_startRevision);
+    WatchCursor cursor = openWatch(state, request.m_prefix, request.m_startRevision, Duration::zero());
     absl::Status status = absl::OkStatus();
     while (true) {
         const auto batch = nextBatch(state, cursor, [&stop] { return isStopped(stop); });
@@ -1005,7 +1005,8 @@
         return;
     }
     const json create = body.value("create_request", json::object());
-    auto cursor = std::make_shared<WatchCursor>(openWatch(*server.m_state, readBytes(create, "key"), readInt(create, "start_revision")));
+    auto cursor = std::make_shared<WatchCursor>(
+        openWatch(*server.m_state, readBytes(create, "key"), readInt(create, "start_revision"), ProgressInterval));
     response.set_chunked_content_provider(
         "application/json",
         [&server, cursor](size_t, httplib::DataSink &sink) { return streamWatch(server, *cursor, sink); },
--- a/tests/test_store.cpp
+++ b/tests/test_store.cpp
@@ -137,6 +137,7 @@
     CPPUNIT_TEST(backoffHasFullJitter);
     CPPUNIT_TEST(expiredLeaseDeletesItsKeys);
     CPPUNIT_TEST(rateLimitRefusesWithoutEffect);
+    CPPUNIT_TEST(localWatchOpensAndResumes);
     CPPUNIT_TEST_SUITE_END();
 
     // Guards against members that are lost or misread between the JSON gateway and the client.
@@ -687,6 +688,33 @@
         CPPUNIT_ASSERT(accepted >= 9 && accepted <= 21);
         CPPUNIT_ASSERT_EQUAL(static_cast<uint64_t>(accepted), writeCount(local.m_state));
     }
+
+    // Guards against an in-process watch that differs from the gateway's: no opening, or events lost when it resumes.
+    void localWatchOpensAndResumes()
+    {
+        LocalStore local;
+        StopSignal stop;
+        int64_t revision = 0;
+        std::vector<std::string> values;
+        const auto takeOne = [&](const WatchBatch &batch) {
+            revision = batch.m_revision;
+            for (const WatchEvent &event : batch.m_events) {
+                values.push_back(event.m_entry.m_value);
+            }
+            return false;
+        };
+        CPPUNIT_ASSERT(local.m_store.m_watch({StorePurpose::Configuration, "w/", 0}, takeOne, stop).ok());
+        CPPUNIT_ASSERT(values.empty());
+        CPPUNIT_ASSERT(local.m_store.m_transact(put("w/1", "a")).ok());
+        CPPUNIT_ASSERT(local.m_store.m_transact(put("x", "no")).ok());
+        CPPUNIT_ASSERT(local.m_store.m_transact(put("w/1", "b")).ok());
+        CPPUNIT_ASSERT(local.m_store.m_watch({StorePurpose::Configuration, "w/", revision + 1}, takeOne, stop).ok());
+        CPPUNIT_ASSERT((values == std::vector<std::string>{"a", "b"}));
+        CPPUNIT_ASSERT_EQUAL(local.m_state.m_revision, revision);
+        requestStop(stop);
+        CPPUNIT_ASSERT(local.m_store.m_watch({StorePurpose::Configuration, "w/", revision + 1}, takeOne, stop).ok());
+        CPPUNIT_ASSERT_EQUAL(0, local.m_state.m_openWatches);
+    }
 };
 
 CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(StoreTest, "store");
