--- a/src/store.h
+++ b/src/store.h
@@ -281,7 +281,8 @@
 
 struct WriteAnswer {
     WriteResult m_result = WriteResult::Unknown;
-    Reason m_reason = Reason::None; ///< NotApplied: Conflict, StoreUnavailable, StoreBudgetExhausted, MalformedRequest
+    Reason m_reason =
+        Reason::None; ///< NotApplied: Conflict, StoreUnavailable, StoreBudgetExhausted, MalformedRequest, NotFound (lease gone)
     int64_t m_revision = 0; ///< Applied: revision of the write. Superseded: the same, or 0 when not known
     std::optional<KeyValue> m_current; ///< Conflict or Superseded: the witness key as last read
 };
--- a/src/store_marked.cpp
+++ b/src/store_marked.cpp
@@ -208,6 +208,10 @@
         if (!attempt.m_mayBeApplied && reason == Reason::MalformedRequest) {
             return {WriteResult::NotApplied, reason, 0, std::nullopt};
         }
+        if (absl::IsNotFound(answer.status())) {
+            // The lease is gone, and with it every key that an earlier send put under it.
+            return {attempt.m_mayBeApplied ? WriteResult::Superseded : WriteResult::NotApplied, Reason::NotFound, 0, std::nullopt};
+        }
         if (!waitToRetry(attempt)) {
             return {attempt.m_mayBeApplied ? WriteResult::Unknown : WriteResult::NotApplied, reason, 0, std::nullopt};
         }
--- a/tests/test_store.cpp
+++ b/tests/test_store.cpp
@@ -129,6 +129,7 @@
     CPPUNIT_TEST(conflictWithoutLossIsNotApplied);
     CPPUNIT_TEST(outageBeforeTheSendIsNotApplied);
     CPPUNIT_TEST(outageAfterALostAnswerIsUnknown);
+    CPPUNIT_TEST(expiredLeaseEndsAWrite);
     CPPUNIT_TEST(seededLossesNeverGiveAFalseResult);
     CPPUNIT_TEST(budgetRefusesAndRefills);
     CPPUNIT_TEST(breakerMakesAnOutageCheap);
@@ -469,6 +470,22 @@
         CPPUNIT_ASSERT_EQUAL(uint64_t(1), local.m_counters.m_unresolved.load());
     }
 
+    // Guards against a holder that keeps trying under an expired lease, and against "not applied" for a key that it had.
+    void expiredLeaseEndsAWrite()
+    {
+        LocalStore local;
+        const TimePoint before = now(local.m_clock);
+        const WriteAnswer refused = putWithMark(local.context(), StorePurpose::Claims, "owner", "mine", 0, 77);
+        CPPUNIT_ASSERT(refused.m_result == WriteResult::NotApplied && refused.m_reason == Reason::NotFound);
+        CPPUNIT_ASSERT(now(local.m_clock) == before);
+        const auto lease = local.m_store.m_grantLease(StorePurpose::Leases, seconds(1));
+        local.m_state.m_faults.m_loseNextAnswers = 1;
+        local.m_duringWait = [&] { advanceClock(local.m_clock, seconds(2)); };
+        const WriteAnswer lost = putWithMark(local.context(), StorePurpose::Claims, "owner", "mine", 0, lease->m_identifier);
+        CPPUNIT_ASSERT(lost.m_result == WriteResult::Superseded);
+        CPPUNIT_ASSERT(!local.read("owner"));
+    }
+
     // Guards against any false result under lost answers, lost requests, late copies, deletions and other writers.
     void seededLossesNeverGiveAFalseResult()
     {
