--- a/tests/measure_config.cpp
+++ b/tests/measure_config.cpp
@@ -36,6 +36,7 @@
 double medianMicroseconds(int repeats, const std::function<void(int)> &action)
 {
     std::vector<double> times;
+    times.reserve(static_cast<size_t>(repeats));
     for (int i = 0; i < repeats; ++i) {
         times.push_back(microseconds([&] { action(i); }));
     }
@@ -117,6 +118,7 @@
 void measureChanges(int organisations, ConfigState &state)
 {
     std::vector<ConfigChange> changes;
+    changes.reserve(Repeats);
     for (int i = 0; i < Repeats; ++i) {
         changes.push_back(change(ObjectKind::Organisation, organisationJson(i * 7 % organisations, i + 1), state.m_cursor + 1 + i));
     }
