--- a/src/store.h
+++ b/src/store.h
@@ -142,7 +142,7 @@
 /** Every event above the previous batch's m_revision up to and including m_revision. */
 struct WatchBatch {
     int64_t m_revision = 0;
-    std::vector<WatchEvent> m_events; ///< in revision order; empty: progress notification
+    std::vector<WatchEvent> m_events; ///< in revision order; empty: the watch has opened, or a progress notification
 };
 
 /** Receives events in order. Returning false ends the watch. */
@@ -281,7 +281,8 @@
 
 struct WriteAnswer {
     WriteResult m_result = WriteResult::Unknown;
-    Reason m_reason = Reason::None; ///< NotApplied: Conflict, StoreUnavailable, StoreBudgetExhausted, MalformedRequest
+    Reason m_reason =
+        Reason::None; ///< NotApplied: Conflict, StoreUnavailable, StoreBudgetExhausted, MalformedRequest, NotFound (lease gone)
     int64_t m_revision = 0; ///< Applied: revision of the write. Superseded: the same, or 0 when not known
     std::optional<KeyValue> m_current; ///< Conflict or Superseded: the witness key as last read
 };
--- a/tests/test_store.cpp
+++ b/tests/test_store.cpp
@@ -115,6 +115,7 @@
     CPPUNIT_TEST(gatewayKeepsLeases);
     CPPUNIT_TEST(gatewayWatchDeliversInOrderAndStops);
     CPPUNIT_TEST(gatewayWatchReportsCompaction);
+    CPPUNIT_TEST(quietWatchIsNotAnOutage);
     CPPUNIT_TEST(gatewayTriesTheNextEndpoint);
     CPPUNIT_TEST(gatewayCallEndsAtItsDeadline);
     CPPUNIT_TEST(gatewayErrorsAreClassified);
@@ -128,6 +129,7 @@
     CPPUNIT_TEST(conflictWithoutLossIsNotApplied);
     CPPUNIT_TEST(outageBeforeTheSendIsNotApplied);
     CPPUNIT_TEST(outageAfterALostAnswerIsUnknown);
+    CPPUNIT_TEST(expiredLeaseEndsAWrite);
     CPPUNIT_TEST(seededLossesNeverGiveAFalseResult);
     CPPUNIT_TEST(budgetRefusesAndRefills);
     CPPUNIT_TEST(breakerMakesAnOutageCheap);
@@ -136,6 +138,7 @@
     CPPUNIT_TEST(backoffHasFullJitter);
     CPPUNIT_TEST(expiredLeaseDeletesItsKeys);
     CPPUNIT_TEST(rateLimitRefusesWithoutEffect);
+    CPPUNIT_TEST(localWatchOpensAndResumes);
     CPPUNIT_TEST_SUITE_END();
 
     // Guards against members that are lost or misread between the JSON gateway and the client.
@@ -269,6 +272,28 @@
         CPPUNIT_ASSERT(absl::IsOutOfRange(old.status()));
     }
 
+    // Guards against a breaker that opens because a prefix has no events for a while.
+    void quietWatchIsNotAnOutage()
+    {
+        RemoteStore remote;
+        EtcdOptions options;
+        options.m_endpoints = {remote.m_server->m_address};
+        options.m_watchIdleLimit = milliseconds(400); // below the progress interval of the stand-in
+        options.m_guard.m_clock = &remote.m_clock;
+        const Store store = makeEtcdStore(options);
+        StopSignal stop;
+        int opened = 0;
+        const auto sink = [&opened](const WatchBatch &batch) {
+            ++opened;
+            return batch.m_events.empty();
+        };
+        for (int i = 0; i <= BreakerThreshold; ++i) {
+            CPPUNIT_ASSERT(!store.m_watch({StorePurpose::Configuration, "quiet/", 1}, sink, stop).ok());
+        }
+        CPPUNIT_ASSERT(opened > 0);
+        CPPUNIT_ASSERT(store.m_range(keyRange(StorePurpose::Configuration, "k")).ok());
+    }
+
     // Guards against a node that depends on the one endpoint it tried first.
     void gatewayTriesTheNextEndpoint()
     {
@@ -445,6 +470,22 @@
         CPPUNIT_ASSERT_EQUAL(uint64_t(1), local.m_counters.m_unresolved.load());
     }
 
+    // Guards against a holder that keeps trying under an expired lease, and against "not applied" for a key that it had.
+    void expiredLeaseEndsAWrite()
+    {
+        LocalStore local;
+        const TimePoint before = now(local.m_clock);
+        const WriteAnswer refused = putWithMark(local.context(), StorePurpose::Claims, "owner", "mine", 0, 77);
+        CPPUNIT_ASSERT(refused.m_result == WriteResult::NotApplied && refused.m_reason == Reason::NotFound);
+        CPPUNIT_ASSERT(now(local.m_clock) == before);
+        const auto lease = local.m_store.m_grantLease(StorePurpose::Leases, seconds(1));
+        local.m_state.m_faults.m_loseNextAnswers = 1;
+        local.m_duringWait = [&] { advanceClock(local.m_clock, seconds(2)); };
+        const WriteAnswer lost = putWithMark(local.context(), StorePurpose::Claims, "owner", "mine", 0, lease->m_identifier);
+        CPPUNIT_ASSERT(lost.m_result == WriteResult::Superseded);
+        CPPUNIT_ASSERT(!local.read("owner"));
+    }
+
     // Guards against any false result under lost answers, lost requests, late copies, deletions and other writers.
     void seededLossesNeverGiveAFalseResult()
     {
@@ -664,6 +705,33 @@
         CPPUNIT_ASSERT(accepted >= 9 && accepted <= 21);
         CPPUNIT_ASSERT_EQUAL(static_cast<uint64_t>(accepted), writeCount(local.m_state));
     }
+
+    // Guards against an in-process watch that differs from the gateway's: no opening, or events lost when it resumes.
+    void localWatchOpensAndResumes()
+    {
+        LocalStore local;
+        StopSignal stop;
+        int64_t revision = 0;
+        std::vector<std::string> values;
+        const auto takeOne = [&](const WatchBatch &batch) {
+            revision = batch.m_revision;
+            for (const WatchEvent &event : batch.m_events) {
+                values.push_back(event.m_entry.m_value);
+            }
+            return false;
+        };
+        CPPUNIT_ASSERT(local.m_store.m_watch({StorePurpose::Configuration, "w/", 0}, takeOne, stop).ok());
+        CPPUNIT_ASSERT(values.empty());
+        CPPUNIT_ASSERT(local.m_store.m_transact(put("w/1", "a")).ok());
+        CPPUNIT_ASSERT(local.m_store.m_transact(put("x", "no")).ok());
+        CPPUNIT_ASSERT(local.m_store.m_transact(put("w/1", "b")).ok());
+        CPPUNIT_ASSERT(local.m_store.m_watch({StorePurpose::Configuration, "w/", revision + 1}, takeOne, stop).ok());
+        CPPUNIT_ASSERT((values == std::vector<std::string>{"a", "b"}));
+        CPPUNIT_ASSERT_EQUAL(local.m_state.m_revision, revision);
+        requestStop(stop);
+        CPPUNIT_ASSERT(local.m_store.m_watch({StorePurpose::Configuration, "w/", revision + 1}, takeOne, stop).ok());
+        CPPUNIT_ASSERT_EQUAL(0, local.m_state.m_openWatches);
+    }
 };
 
 CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(StoreTest, "store");
