--- a/src/cluster.h
+++ b/src/cluster.h
@@ -148,9 +148,11 @@
 /**
  * Splits @p ring (the addresses to reach, in ring order, without the sender) into at most TreeFanOut branches that
  * cover it. @p end is the address at which the range of the ring ends. @p choice varies the child of each branch,
- * so that the work of inner nodes is spread over the members.
+ * so that the work of inner nodes is spread over the members; addresses in @p leaves are chosen only when a branch has
+ * no others.
  */
-std::vector<TreeBranch> treeBranches(const std::vector<Address> &ring, const Address &end, uint64_t choice);
+std::vector<TreeBranch>
+treeBranches(const std::vector<Address> &ring, const Address &end, uint64_t choice, const std::vector<Address> &leaves = {});
 /** True when @p address lies in the ring range [begin, end), which wraps around the largest address. */
 bool isInRing(const Address &address, const Address &begin, const Address &end);
 
--- a/src/cluster_spread.cpp
+++ b/src/cluster_spread.cpp
@@ -68,8 +68,10 @@
 
 void sendBranches(ClusterState &state, const std::vector<Address> &ring, const Address &end, const MessageBody &body, EventContext &context)
 {
-    const uint64_t choice = spreadHeader(body)->m_identifier;
-    for (const TreeBranch &branch : treeBranches(ring, end, choice)) {
+    const SpreadHeader &spread = *spreadHeader(body);
+    // The watchers take turns as root, which sends more than an inner node does; they forward nothing besides.
+    const std::vector<Address> leaves = spread.m_regional && ring.size() > TreeFanOut ? ownRegionWatchers(state) : std::vector<Address>();
+    for (const TreeBranch &branch : treeBranches(ring, end, spread.m_identifier, leaves)) {
         MessageBody copy = body;
         spreadHeader(copy)->m_begin = branch.m_begin;
         spreadHeader(copy)->m_end = branch.m_end;
@@ -305,6 +307,11 @@
     context.m_actions.m_verdicts.push_back({verdict.m_contentHash, remaining});
 }
 
+bool isOneOf(const std::vector<Address> &addresses, const Address &address)
+{
+    return std::find(addresses.begin(), addresses.end(), address) != addresses.end();
+}
+
 using ScoredAddress = std::pair<uint64_t, Address>;
 
 void addScore(const Member &member, const std::string &region, std::vector<ScoredAddress> &scored)
@@ -358,14 +365,18 @@
     return begin <= address || address < end;
 }
 
-std::vector<TreeBranch> treeBranches(const std::vector<Address> &ring, const Address &end, uint64_t choice)
+std::vector<TreeBranch>
+treeBranches(const std::vector<Address> &ring, const Address &end, uint64_t choice, const std::vector<Address> &leaves)
 {
     std::vector<TreeBranch> branches;
     const size_t count = std::min(TreeFanOut, ring.size());
     for (size_t i = 0; i < count; ++i) {
         const size_t first = ring.size() * i / count;
         const size_t last = ring.size() * (i + 1) / count;
-        const size_t child = first + combineHash(choice, addressHash(ring[first])) % (last - first);
+        size_t child = first + combineHash(choice, addressHash(ring[first])) % (last - first);
+        for (size_t tried = first; tried < last && isOneOf(leaves, ring[child]); ++tried) {
+            child = child + 1 < last ? child + 1 : first;
+        }
         branches.push_back({ring[child], ring[first], last < ring.size() ? ring[last] : end});
     }
     return branches;
--- a/tests/test_spread.cpp
+++ b/tests/test_spread.cpp
@@ -346,6 +346,12 @@
             for (const TreeBranch &branch : branches) {
                 CPPUNIT_ASSERT(isInRing(branch.m_child, branch.m_begin, branch.m_end));
             }
+            // Leaves are only passed over where a branch has other members.
+            for (const TreeBranch &branch : treeBranches(part, end, count, {ring[0], ring[1], ring[2]})) {
+                const bool isLeaf = branch.m_child.m_port < 103;
+                CPPUNIT_ASSERT(isInRing(branch.m_child, branch.m_begin, branch.m_end));
+                CPPUNIT_ASSERT(!isLeaf || count < 16);
+            }
         }
     }
 
