--- a/tests/test_cluster.cpp
+++ b/tests/test_cluster.cpp
@@ -640,9 +640,11 @@
         auto second = startTransport(clock, loopbackOptions(2, {localAddress(**first)}));
         CPPUNIT_ASSERT(second.ok());
         CPPUNIT_ASSERT(eventually([&] { return members(**first)->m_live.size() == 2 && members(**second)->m_live.size() == 2; }));
+        constexpr int Callers = 8;
         std::vector<std::thread> callers;
+        callers.reserve(Callers);
         std::atomic<int> correct = 0;
-        for (int caller = 0; caller < 8; ++caller) {
+        for (int caller = 0; caller < Callers; ++caller) {
             callers.emplace_back([&, caller] {
                 for (int i = 0; i < 20; ++i) {
                     const std::string payload = fmt::format("call {} {}", caller, i);
--- a/tests/test_spread.cpp
+++ b/tests/test_spread.cpp
@@ -328,8 +328,10 @@
     // Guards against a part of the ring that no child serves, or that two children serve.
     void branchesCoverTheRing()
     {
+        constexpr int Nodes = 40;
         std::vector<Address> ring;
-        for (int i = 0; i < 40; ++i) {
+        ring.reserve(Nodes);
+        for (int i = 0; i < Nodes; ++i) {
             ring.push_back({"10.0.0.1", 100 + i});
         }
         const Address end{"10.0.0.1", 99};
