--- a/src/cluster_membership.cpp
+++ b/src/cluster_membership.cpp
@@ -622,9 +622,12 @@
 /** Pulls the whole view of a peer when views have differed for longer than a change takes to spread. */
 void compareViews(ClusterState &state, const Address &peer, uint64_t digest, EventContext &context)
 {
+    // Equal views of other peers prove nothing: neighbours in the ring may lack the same member.
+    const bool isFresh = context.m_now - state.m_differsSince > MaxSyncInterval;
     if (digest == state.m_digest) {
-        state.m_differsSince = TimePoint{};
-    } else if (state.m_differsSince == TimePoint{}) {
+        return;
+    }
+    if (isFresh) {
         state.m_differsSince = context.m_now;
     } else if (context.m_now >= state.m_nextSync && context.m_now - state.m_differsSince >= DifferenceTime) {
         pullView(state, peer, context);
