--- a/tests/test_spread.cpp
+++ b/tests/test_spread.cpp
@@ -328,8 +328,10 @@
     // Guards against a part of the ring that no child serves, or that two children serve.
     void branchesCoverTheRing()
     {
+        constexpr int Nodes = 40;
         std::vector<Address> ring;
-        for (int i = 0; i < 40; ++i) {
+        ring.reserve(Nodes);
+        for (int i = 0; i < Nodes; ++i) {
             ring.push_back({"10.0.0.1", 100 + i});
         }
         const Address end{"10.0.0.1", 99};
@@ -346,6 +348,12 @@
             for (const TreeBranch &branch : branches) {
                 CPPUNIT_ASSERT(isInRing(branch.m_child, branch.m_begin, branch.m_end));
             }
+            // Leaves are only passed over where a branch has other members.
+            for (const TreeBranch &branch : treeBranches(part, end, count, {ring[0], ring[1], ring[2]})) {
+                const bool isLeaf = branch.m_child.m_port < 103;
+                CPPUNIT_ASSERT(isInRing(branch.m_child, branch.m_begin, branch.m_end));
+                CPPUNIT_ASSERT(!isLeaf || count < 16);
+            }
         }
     }
 
