--- a/src/durable_runner.cpp
+++ b/src/durable_runner.cpp
@@ -255,8 +255,8 @@
 /** UUID version 7 with the durable time and a hash of the job and stage: equal on every node that runs the stage. */
 Identifier claimKey(const BatchRunner &runner, int64_t job, int64_t stage, int64_t at)
 {
-    constexpr uint64_t version7 = 0x7000;
-    constexpr uint64_t variant = uint64_t(2) << 62;
+    constexpr uint64_t Version7 = 0x7000;
+    constexpr uint64_t Variant = uint64_t(2) << 62;
     const BatchJob &value = runner.m_jobs[static_cast<size_t>(job)];
     const Digest digest = sha256(fmt::format("{} {} {} {}", toString(value.m_key), toString(runner.m_group), job, stage));
     uint64_t high = 0;
@@ -265,7 +265,7 @@
         high = (high << 8) | digest[i];
         low = (low << 8) | digest[i + sizeof(uint64_t)];
     }
-    return {(static_cast<uint64_t>(at) << 16) | version7 | (high & 0xfff), variant | (low >> 2)};
+    return {(static_cast<uint64_t>(at) << 16) | Version7 | (high & 0xfff), Variant | (low >> 2)};
 }
 
 bool isClaimTimeUsable(const JobProgress &progress, int64_t stage, int64_t wall)
--- a/src/durable_store.cpp
+++ b/src/durable_store.cpp
@@ -90,11 +90,11 @@
 
 Identifier makeMark(const DurableTime &time, Random &random)
 {
-    constexpr uint64_t version7 = 0x7000;
-    constexpr uint64_t variant = uint64_t(2) << 62;
+    constexpr uint64_t Version7 = 0x7000;
+    constexpr uint64_t Variant = uint64_t(2) << 62;
     Identifier mark;
-    mark.m_high = (static_cast<uint64_t>(time.m_wall) << 16) | version7 | (nextRandom(random) & 0xfff);
-    mark.m_low = variant | (nextRandom(random) >> 2);
+    mark.m_high = (static_cast<uint64_t>(time.m_wall) << 16) | Version7 | (nextRandom(random) & 0xfff);
+    mark.m_low = Variant | (nextRandom(random) >> 2);
     return mark;
 }
 
--- a/src/model.h
+++ b/src/model.h
@@ -117,7 +117,7 @@
     std::string m_host;
     int m_port = 0;
 
-    auto operator<=>(const Address &) const = default;
+    auto operator<=>(const Address &) const = default; // NOLINT(modernize-use-nullptr): false positive of clang-tidy 14
 };
 
 std::string toString(const Address &address);
--- a/tests/test_batch.cpp
+++ b/tests/test_batch.cpp
@@ -482,11 +482,11 @@
     // within the first steps) that loses an accepted job, doubles a result or runs a finished stage again.
     void allSchedulesOfTwoNodes()
     {
-        constexpr int steps = 22;
+        constexpr int Steps = 22;
         Explorer explorer;
         int schedules = 0;
         do {
-            const std::string wrong = runBatchSchedule(explorer, 2, 2, steps, 2);
+            const std::string wrong = runBatchSchedule(explorer, 2, 2, Steps, 2);
             CPPUNIT_ASSERT_EQUAL_MESSAGE(describeSchedule(explorer), std::string(), wrong);
             ++schedules;
         } while (nextSchedule(explorer));
@@ -497,12 +497,12 @@
     // Guards against the same with three nodes, more jobs and more faults in one schedule.
     void randomSchedulesOfThreeNodes()
     {
-        constexpr int steps = 80;
+        constexpr int Steps = 80;
         for (uint64_t seed = 1; seed <= 3'000; ++seed) {
             Explorer explorer;
             explorer.m_maxDeviations = 20;
             beginRandomSchedule(explorer, seed);
-            const std::string wrong = runBatchSchedule(explorer, 3, 4, steps, 8);
+            const std::string wrong = runBatchSchedule(explorer, 3, 4, Steps, 8);
             CPPUNIT_ASSERT_EQUAL_MESSAGE("seed " + std::to_string(seed) + describeSchedule(explorer), std::string(), wrong);
         }
     }
--- a/tests/test_claims.cpp
+++ b/tests/test_claims.cpp
@@ -537,11 +537,11 @@
     // default order within the first steps) that runs a stage twice or makes "not run" untrue.
     void allSchedulesOfTwoNodes()
     {
-        constexpr int steps = 22;
+        constexpr int Steps = 22;
         Explorer explorer;
         int schedules = 0;
         do {
-            const std::string wrong = runClaimSchedule(explorer, 2, {1, 0}, steps, 2);
+            const std::string wrong = runClaimSchedule(explorer, 2, {1, 0}, Steps, 2);
             CPPUNIT_ASSERT_EQUAL_MESSAGE(describeSchedule(explorer), std::string(), wrong);
             ++schedules;
         } while (nextSchedule(explorer));
@@ -552,12 +552,12 @@
     // Guards against the same with three nodes, three calls and more faults in one schedule.
     void randomSchedulesOfThreeNodes()
     {
-        constexpr int steps = 80;
+        constexpr int Steps = 80;
         for (uint64_t seed = 1; seed <= 5'000; ++seed) {
             Explorer explorer;
             explorer.m_maxDeviations = 20;
             beginRandomSchedule(explorer, seed);
-            const std::string wrong = runClaimSchedule(explorer, 3, {1, 0, 2}, steps, 8);
+            const std::string wrong = runClaimSchedule(explorer, 3, {1, 0, 2}, Steps, 8);
             CPPUNIT_ASSERT_EQUAL_MESSAGE("seed " + std::to_string(seed) + describeSchedule(explorer), std::string(), wrong);
         }
     }
