--- a/tests/claim_world.h
+++ b/tests/claim_world.h
@@ -19,6 +19,7 @@
     int64_t m_clockSkew = 0; ///< milliseconds
     int m_knownOwner = 0;
     bool m_alive = true;
+    TimePoint m_pausedUntil; ///< no timers and no look at the owner key before it
 };
 
 struct ClaimCall {
@@ -203,8 +204,9 @@
 inline void tick(ClaimWorld &world)
 {
     world.m_now += WorldTick;
+    lookUpOwner(world, 0);
     for (int node = 0; node < static_cast<int>(world.m_nodes.size()); ++node) {
-        if (!isAlive(world, node)) {
+        if (!isAlive(world, node) || world.m_now < world.m_nodes[static_cast<size_t>(node)].m_pausedUntil) {
             continue;
         }
         // The other nodes keep an old view of the owner for a while, unless it says that it is not the owner.
@@ -246,6 +248,13 @@
     }
 }
 
+/** The node is paused past the end of its lease; what it has sent and received is handled when it wakes or before. */
+inline void pausePastLease(ClaimWorld &world, int node)
+{
+    expireLease(world.m_store, node);
+    world.m_nodes[static_cast<size_t>(node)].m_pausedUntil = world.m_now + WorldTick * (DelayTicks + 2);
+}
+
 /** @p callNodes: node of each call; all calls use the same key and start one after another. */
 inline std::unique_ptr<ClaimWorld> makeClaimWorld(int nodes, const std::vector<int> &callNodes)
 {
@@ -266,6 +275,7 @@
     self.m_schedule.m_tick = [&self] { tick(self); };
     for (int i = 0; i < nodes; ++i) {
         self.m_schedule.m_disturbances.push_back([&self, i] { expireLease(self.m_store, i); });
+        self.m_schedule.m_disturbances.push_back([&self, i] { pausePastLease(self, i); });
         self.m_schedule.m_disturbances.push_back([&self, i] { killNode(self, i); });
     }
     return world;
