--- a/tests/test_batch.cpp
+++ b/tests/test_batch.cpp
@@ -122,6 +122,7 @@
 {
     CPPUNIT_TEST_SUITE(BatchTest);
     CPPUNIT_TEST(acceptedOnlyAfterCommit);
+    CPPUNIT_TEST(markIsReadAfterTheCompares);
     CPPUNIT_TEST(jobsAreGrouped);
     CPPUNIT_TEST(largeJobsAreSplitByBytes);
     CPPUNIT_TEST(quotaAndStoreBoundRefuse);
@@ -158,6 +159,33 @@
         CPPUNIT_ASSERT_EQUAL(size_t(1), itemsWithPrefix(bench.m_store, groupPrefix()).size());
     }
 
+    // Guards against a group that is stored twice: it is written, and the sequence key ends, between the two reads of a
+    // read-back. With the mark read first, its absence would be older than the change of the compare.
+    void markIsReadAfterTheCompares()
+    {
+        BatchBench bench;
+        bench.m_hold = true;
+        submit(bench, makeJob(1));
+        const StoreWrite write = bench.m_unsent.at(0);
+        const StoreOutcome unknown{write.m_mark, StoreWriteResult::Unknown, 0};
+        const AcceptActions actions = storeAnswered(bench.m_accept, unknown, bench.m_time, bench.m_random);
+        StoreRange range;
+        range.m_tag = actions.m_store.m_reads.at(0).m_tag;
+        range.m_answered = true;
+        for (const std::string &key : actions.m_store.m_reads[0].m_keys) {
+            StoreRead read;
+            read.m_keys = {key};
+            for (const StoreItem &item : readStore(bench.m_store, read).m_items) {
+                range.m_items.push_back(item);
+            }
+            // The first copy arrives after the first read; another write changes the sequence key.
+            applyWrite(bench.m_store, write, 0);
+            bench.m_store.m_keys[bench.m_accept.m_sequenceKey].m_modRevision = 9'999;
+        }
+        carryOut(bench, rangeAnswered(bench.m_accept, range, bench.m_time, bench.m_random));
+        CPPUNIT_ASSERT_EQUAL(size_t(1), bench.m_accepted.size());
+    }
+
     // Guards against one store write for every job under load.
     void jobsAreGrouped()
     {
@@ -454,11 +482,11 @@
     // within the first steps) that loses an accepted job, doubles a result or runs a finished stage again.
     void allSchedulesOfTwoNodes()
     {
-        constexpr int steps = 22;
+        constexpr int Steps = 22;
         Explorer explorer;
         int schedules = 0;
         do {
-            const std::string wrong = runBatchSchedule(explorer, 2, 2, steps, 2);
+            const std::string wrong = runBatchSchedule(explorer, 2, 2, Steps, 2);
             CPPUNIT_ASSERT_EQUAL_MESSAGE(describeSchedule(explorer), std::string(), wrong);
             ++schedules;
         } while (nextSchedule(explorer));
@@ -469,12 +497,12 @@
     // Guards against the same with three nodes, more jobs and more faults in one schedule.
     void randomSchedulesOfThreeNodes()
     {
-        constexpr int steps = 80;
+        constexpr int Steps = 80;
         for (uint64_t seed = 1; seed <= 3'000; ++seed) {
             Explorer explorer;
             explorer.m_maxDeviations = 20;
             beginRandomSchedule(explorer, seed);
-            const std::string wrong = runBatchSchedule(explorer, 3, 4, steps, 8);
+            const std::string wrong = runBatchSchedule(explorer, 3, 4, Steps, 8);
             CPPUNIT_ASSERT_EQUAL_MESSAGE("seed " + std::to_string(seed) + describeSchedule(explorer), std::string(), wrong);
         }
     }
--- a/tests/test_claims.cpp
+++ b/tests/test_claims.cpp
@@ -121,6 +121,7 @@
     CPPUNIT_TEST(deadHolderMeansUnknown);
     CPPUNIT_TEST(releasedKeyIsGrantedAgain);
     CPPUNIT_TEST(releaseBeforeItsClaimIsRemembered);
+    CPPUNIT_TEST(releaseDuringTheCommitPreventsTheGrant);
     CPPUNIT_TEST(takeoverKnowsEveryClaim);
     CPPUNIT_TEST(storeOutageRefusesNewClaims);
     CPPUNIT_TEST(lateKeyIsNeverGranted);
@@ -300,6 +301,21 @@
         CPPUNIT_ASSERT(claim(bench, makeRequest(first.m_key, 2)) == ClaimStatus::Granted);
     }
 
+    // Guards against a key that stays blocked because its release arrived while its claim was being committed.
+    void releaseDuringTheCommitPreventsTheGrant()
+    {
+        OwnerBench bench = servingOwner();
+        bench.m_hold = true;
+        const ClaimRequest first = makeRequest(keyAt(WorldWall, 1), 1);
+        carryOut(bench, receiveClaim(bench.m_owner, first, bench.m_time, bench.m_random));
+        report(bench, first, ClaimReportKind::Released, "");
+        bench.m_hold = false;
+        const StoreOutcome outcome = applyWrite(bench.m_store, bench.m_unsent.at(0), 0);
+        carryOut(bench, storeAnswered(bench.m_owner, outcome, bench.m_time, bench.m_random));
+        CPPUNIT_ASSERT(bench.m_answers.empty());
+        CPPUNIT_ASSERT(claim(bench, makeRequest(first.m_key, 2)) == ClaimStatus::Granted);
+    }
+
     // Guards against claims that a successor does not know, across more segments than one page holds.
     void takeoverKnowsEveryClaim()
     {
@@ -460,13 +476,13 @@
         ClaimHolder holder;
         CPPUNIT_ASSERT(startClaim(holder, request, start + milliseconds(300), start).m_ask == request);
         const HolderActions ended = holderTimer(holder, start + milliseconds(300));
-        CPPUNIT_ASSERT(ended.m_verdict->m_outcome == Outcome::NotRun);
-        CPPUNIT_ASSERT(ended.m_report->m_kind == ClaimReportKind::Released);
+        CPPUNIT_ASSERT(ended.m_verdict.value().m_outcome == Outcome::NotRun);
+        CPPUNIT_ASSERT(ended.m_report.value().m_kind == ClaimReportKind::Released);
         reportAcknowledged(holder, {request.m_key, request.m_call});
         const ClaimAnswer granted{request.m_key, request.m_call, ClaimStatus::Granted, Reason::None, ""};
         const HolderActions late = claimAnswered(holder, granted, start + milliseconds(400));
         CPPUNIT_ASSERT(!late.m_run);
-        CPPUNIT_ASSERT(late.m_report->m_kind == ClaimReportKind::Released);
+        CPPUNIT_ASSERT(late.m_report.value().m_kind == ClaimReportKind::Released);
         CPPUNIT_ASSERT(!isHolderClosed(holder, start + milliseconds(400)));
     }
 
@@ -481,7 +497,7 @@
         CPPUNIT_ASSERT(!claimAnswered(holder, busy, start).m_verdict);
         CPPUNIT_ASSERT(holderTimer(holder, start + AskInProgressAfter).m_ask == request);
         const HolderActions ended = holderTimer(holder, start + seconds(1));
-        CPPUNIT_ASSERT(ended.m_verdict->m_outcome == Outcome::Unknown);
+        CPPUNIT_ASSERT(ended.m_verdict.value().m_outcome == Outcome::Unknown);
     }
 
     // Guards against a graceful shutdown that makes callers wait for the end of the lease.
@@ -537,11 +553,11 @@
     // default order within the first steps) that runs a stage twice or makes "not run" untrue.
     void allSchedulesOfTwoNodes()
     {
-        constexpr int steps = 22;
+        constexpr int Steps = 22;
         Explorer explorer;
         int schedules = 0;
         do {
-            const std::string wrong = runClaimSchedule(explorer, 2, {1, 0}, steps, 2);
+            const std::string wrong = runClaimSchedule(explorer, 2, {1, 0}, Steps, 2);
             CPPUNIT_ASSERT_EQUAL_MESSAGE(describeSchedule(explorer), std::string(), wrong);
             ++schedules;
         } while (nextSchedule(explorer));
@@ -552,12 +568,12 @@
     // Guards against the same with three nodes, three calls and more faults in one schedule.
     void randomSchedulesOfThreeNodes()
     {
-        constexpr int steps = 80;
+        constexpr int Steps = 80;
         for (uint64_t seed = 1; seed <= 5'000; ++seed) {
             Explorer explorer;
             explorer.m_maxDeviations = 20;
             beginRandomSchedule(explorer, seed);
-            const std::string wrong = runClaimSchedule(explorer, 3, {1, 0, 2}, steps, 8);
+            const std::string wrong = runClaimSchedule(explorer, 3, {1, 0, 2}, Steps, 8);
             CPPUNIT_ASSERT_EQUAL_MESSAGE("seed " + std::to_string(seed) + describeSchedule(explorer), std::string(), wrong);
         }
     }
