--- a/src/entry.h
+++ b/src/entry.h
@@ -151,8 +151,10 @@
                   const AttemptVerdict &verdict);
 /** Whether another attempt may be made, and after what delay. Spends the pool's retry budget. */
 RetryDecision permitRetry(Pools &pools, const std::string &pool, const FailedAttempt &failed);
-/** Mean time of a stage on the pool; zero before the first one. */
-Duration expectedStageTime(Pools &pools, const std::string &pool);
+/** Expected wait and service time of a request on its pool. */
+Duration expectedStageTime(Pools &pools, const PlaceRequest &request);
+/** Notices ended ejections, spaced-out limits and deadlines that passed while nothing else happened. */
+void tickPools(Pools &pools);
 bool isRefusedContent(Pools &pools, uint64_t contentHash);
 /** Takes over the verdict of another entry. */
 void acceptBlame(Pools &pools, const CrashBlame &blame);
--- a/src/entry_control.cpp
+++ b/src/entry_control.cpp
@@ -415,6 +415,7 @@
         knewPeers = knewPeers || nodes.size() > 1;
         refreshPools(keeper, controller.m_replicas, std::move(nodes));
         updateReadiness(keeper, controller.m_transport, knewPeers);
+        tickPools(*board.m_pools);
     } while (sleepFor(board.m_clock, stop, ControlTick));
 }
 
--- a/src/entry_pipeline.cpp
+++ b/src/entry_pipeline.cpp
@@ -138,35 +138,33 @@
     return attempt;
 }
 
-/** Mean time of the stages after @p index. */
-Duration expectedRemaining(Blackboard &board, const AcceptedRequest &request, size_t index)
-{
-    Duration remaining{};
-    const std::vector<Stage> &stages = request.m_pipeline.m_stages;
-    for (size_t i = index + 1; i < stages.size(); ++i) {
-        if (stages[i].m_required) {
-            remaining += expectedStageTime(*board.m_pools, stages[i].m_pool);
-        }
-    }
-    return remaining;
-}
-
-PlaceRequest makePlaceRequest(Blackboard &board, const AcceptedRequest &request, size_t index, const AttemptRequest &attempt)
+PlaceRequest makePlaceRequest(const AcceptedRequest &request, const Stage &stage)
 {
-    const Stage &stage = request.m_pipeline.m_stages[index];
     PlaceRequest place;
     place.m_pool = stage.m_pool;
     place.m_organisation = request.m_organisation->m_name;
     place.m_weight = request.m_organisation->m_weight;
     place.m_class = request.m_request.m_class;
     place.m_contentHash = request.m_contentHash;
-    place.m_prompt = attempt.m_prompt;
-    place.m_remaining = expectedRemaining(board, request, index);
+    place.m_deadline = request.m_deadline;
     place.m_attemptsLeft = stage.m_idempotent ? stage.m_maxAttempts - 1 : 0;
     place.m_idempotent = stage.m_idempotent;
     return place;
 }
 
+/** Expected time of the stages after @p index; optional ones may be left out. */
+Duration expectedRemaining(Blackboard &board, const AcceptedRequest &request, size_t index)
+{
+    Duration remaining{};
+    const std::vector<Stage> &stages = request.m_pipeline.m_stages;
+    for (size_t i = index + 1; i < stages.size(); ++i) {
+        if (stages[i].m_required) {
+            remaining += expectedStageTime(*board.m_pools, makePlaceRequest(request, stages[i]));
+        }
+    }
+    return remaining;
+}
+
 /** Passes text on and measures the time between pieces. */
 TokenSink measuredSink(Blackboard &board, const AcceptedRequest &request, Progress &progress, const TokenSink &sink)
 {
@@ -276,7 +274,9 @@
     Blackboard &board = run.m_board;
     const Stage &stage = run.m_request.m_pipeline.m_stages[run.m_index];
     AttemptRequest attempt = makeAttempt(run.m_request, run.m_index, run.m_progress);
-    PlaceRequest wanted = makePlaceRequest(board, run.m_request, run.m_index, attempt);
+    PlaceRequest wanted = makePlaceRequest(run.m_request, stage);
+    wanted.m_prompt = attempt.m_prompt;
+    wanted.m_remaining = expectedRemaining(board, run.m_request, run.m_index);
     wanted.m_deadline = stageDeadline(run.m_request, stage, now(board.m_clock));
     const TokenSink sink = measuredSink(board, run.m_request, run.m_progress, run.m_sink);
     // The worst outcome of all attempts counts: one that may have run stays "unknown" whatever follows.
--- a/src/entry_pools.cpp
+++ b/src/entry_pools.cpp
@@ -123,15 +123,30 @@
     return acceptsNewWork(pool.m_replicas[index].m_presence, now) && !isEjected(pool.m_health[index], now);
 }
 
-double capacityOf(const Pool &pool, TimePoint now)
+Candidate toCandidate(const Pools &pools, const Pool &pool, size_t index, TimePoint now)
+{
+    const ReplicaEntry &entry = pool.m_replicas[index];
+    Candidate candidate;
+    candidate.m_key = entry.m_key;
+    candidate.m_usable = isUsable(pool, index, now) && hasRoom(entry.m_limit, entry.m_open, now);
+    candidate.m_distance = entry.m_replica.m_failureDomain == pools.m_failureDomain ? 0 : 1;
+    candidate.m_open = entry.m_open;
+    candidate.m_limit = entry.m_limit.m_limit;
+    candidate.m_reported = entry.m_reported;
+    candidate.m_openAtReport = entry.m_openAtReport;
+    candidate.m_reportedAt = entry.m_reportedAt;
+    candidate.m_usableSince = std::max(entry.m_usableSince, pool.m_health[index].m_ejectedUntil);
+    return candidate;
+}
+
+/** The caller holds the lock. */
+double capacityOf(const Pools &pools, Pool &pool, TimePoint now)
 {
-    double capacity = 0;
+    pool.m_candidates.clear();
     for (size_t i = 0; i < pool.m_replicas.size(); ++i) {
-        if (isUsable(pool, i, now)) {
-            capacity += pool.m_replicas[i].m_limit.m_limit;
-        }
+        pool.m_candidates.push_back(toCandidate(pools, pool, i, now));
     }
-    return capacity;
+    return poolCapacity(pool.m_candidates);
 }
 
 void preempt(Waiter &waiter)
@@ -143,13 +158,13 @@
 }
 
 /** Carries out what admission decides. The caller holds the pool's lock. */
-void dispatch(Pool &pool, TimePoint now)
+void dispatch(const Pools &pools, Pool &pool, TimePoint now)
 {
     AdmissionActions &actions = pool.m_actions;
     actions.m_start.clear();
     actions.m_refuse.clear();
     actions.m_preempt.clear();
-    dispatchRequests(pool.m_admission, capacityOf(pool, now), now, actions);
+    dispatchRequests(pool.m_admission, capacityOf(pools, pool, now), now, actions);
     for (const uint64_t ticket : actions.m_start) {
         Waiter &waiter = *pool.m_waiters.at(ticket);
         waiter.m_started = true;
@@ -218,7 +233,7 @@
     }
 }
 
-void updatePool(Pool &pool, const std::shared_ptr<const Upstream> &upstream, const PoolInputs &inputs, TimePoint now)
+void updatePool(const Pools &pools, Pool &pool, const std::shared_ptr<const Upstream> &upstream, const PoolInputs &inputs, TimePoint now)
 {
     const std::vector<Replica> replicas = subsetOf(*upstream, inputs);
     const std::lock_guard lock(pool.m_mutex);
@@ -247,7 +262,7 @@
     keepBusyReplicas(pool, entries, health, now);
     pool.m_replicas = std::move(entries);
     pool.m_health = std::move(health);
-    dispatch(pool, now);
+    dispatch(pools, pool, now);
     pool.m_released.notify_all();
 }
 
@@ -266,7 +281,7 @@
         } else {
             pool = found->second;
         }
-        updatePool(*pool, upstream, inputs, now(pools.m_clock));
+        updatePool(pools, *pool, upstream, inputs, now(pools.m_clock));
         next->emplace(name, std::move(pool));
     }
     publish<std::map<std::string, std::shared_ptr<Pool>>>(pools.m_pools, std::move(next));
@@ -292,22 +307,6 @@
     return admission;
 }
 
-Candidate toCandidate(const Pools &pools, const Pool &pool, size_t index, TimePoint now)
-{
-    const ReplicaEntry &entry = pool.m_replicas[index];
-    Candidate candidate;
-    candidate.m_key = entry.m_key;
-    candidate.m_usable = isUsable(pool, index, now) && hasRoom(entry.m_limit, entry.m_open, now);
-    candidate.m_distance = entry.m_replica.m_failureDomain == pools.m_failureDomain ? 0 : 1;
-    candidate.m_open = entry.m_open;
-    candidate.m_limit = entry.m_limit.m_limit;
-    candidate.m_reported = entry.m_reported;
-    candidate.m_openAtReport = entry.m_openAtReport;
-    candidate.m_reportedAt = entry.m_reportedAt;
-    candidate.m_usableSince = std::max(entry.m_usableSince, pool.m_health[index].m_ejectedUntil);
-    return candidate;
-}
-
 /** Routes a request; one that failed everywhere may try a replica again. */
 std::optional<size_t> route(Pools &pools, Pool &pool, const PlaceRequest &request, const PrefixChain &chain, TimePoint now)
 {
@@ -347,7 +346,7 @@
         return reason;
     }
     const std::shared_ptr<Waiter> waiter = pool.m_waiters.at(ticket);
-    dispatch(pool, arrival);
+    dispatch(pools, pool, arrival);
     const auto decided = [&waiter] { return waiter->m_started || waiter->m_refusal != Reason::None; };
     if (!waitUntil(pools.m_clock, lock, waiter->m_changed, request.m_deadline, decided)) {
         withdrawRequest(pool.m_admission, ticket, admission.m_organisation, request.m_class);
@@ -400,7 +399,7 @@
         const Reason reason = waiter->m_preempted ? Reason::Preempted : Reason::DeadlineUnreachable;
         finishRequest(pool->m_admission, ticket, waiter->m_preempted ? Finish::Preempted : Finish::Failed, now(pools.m_clock));
         pool->m_waiters.erase(ticket);
-        dispatch(*pool, now(pools.m_clock));
+        dispatch(pools, *pool, now(pools.m_clock));
         return refusedPlace(reason);
     }
     const TimePoint current = now(pools.m_clock);
@@ -550,7 +549,7 @@
         preempted = waiter->second->m_preempted && verdict.m_outcome != Outcome::Answered;
         pool->m_waiters.erase(waiter);
         finishRequest(pool->m_admission, place.m_ticket, finishOf(verdict, preempted), current);
-        dispatch(*pool, current);
+        dispatch(pools, *pool, current);
         pool->m_released.notify_one();
     }
     if (!lost.empty()) {
@@ -572,14 +571,23 @@
     return decideRetry(found->m_retryBudget, pools.m_retries, failed, now(pools.m_clock), found->m_random);
 }
 
-Duration expectedStageTime(Pools &pools, const std::string &pool)
+Duration expectedStageTime(Pools &pools, const PlaceRequest &request)
 {
-    const std::shared_ptr<Pool> found = findPool(pools, pool);
+    const std::shared_ptr<Pool> found = findPool(pools, request.m_pool);
     if (!found) {
         return {};
     }
     const std::lock_guard lock(found->m_mutex);
-    return meanOf(found->m_attemptTime);
+    return expectedTime(found->m_admission, toAdmission(request, 0), now(pools.m_clock));
+}
+
+void tickPools(Pools &pools)
+{
+    const auto map = snapshot(pools.m_pools);
+    for (const auto &[name, pool] : *map) {
+        const std::lock_guard lock(pool->m_mutex);
+        dispatch(pools, *pool, now(pools.m_clock));
+    }
 }
 
 bool isRefusedContent(Pools &pools, uint64_t contentHash)
@@ -614,7 +622,7 @@
         status.m_running = pool->m_admission.m_running.size();
         status.m_queuedUrgent = pool->m_admission.m_urgent.m_size;
         status.m_queuedBatch = pool->m_admission.m_batch.m_size;
-        status.m_capacity = capacityOf(*pool, current);
+        status.m_capacity = capacityOf(pools, *pool, current);
         list.push_back(std::move(status));
     }
     return list;
