--- a/src/entry.h
+++ b/src/entry.h
@@ -264,7 +264,7 @@
 };
 
 /** Starts the listeners and controllers. */
-absl::StatusOr<std::shared_ptr<Entry>> startEntry(const Settings &settings, Clock &clock, EntryParts parts = {});
+absl::StatusOr<std::shared_ptr<Entry>> startEntry(const Settings &settings, Clock &clock, const EntryParts &parts = {});
 /** Address in use; the settings may ask for any port with port 0 in tests. */
 Address listenAddress(const Entry &entry);
 /** Address for other entries; port 0 without peers. */
--- a/src/entry_http.cpp
+++ b/src/entry_http.cpp
@@ -398,8 +398,8 @@
 }
 
 void answerStream(Blackboard &board,
-                  std::shared_ptr<AcceptedRequest> accepted,
-                  std::shared_ptr<LimitedRequest> limited,
+                  const std::shared_ptr<AcceptedRequest> &accepted,
+                  const std::shared_ptr<LimitedRequest> &limited,
                   httplib::Response &response)
 {
     // The response outlives the handler, so the provider owns what has to live as long as the request.
@@ -433,7 +433,7 @@
     if (!accepted) {
         return;
     }
-    auto limited = std::make_shared<LimitedRequest>(board, accepted->m_organisation);
+    const auto limited = std::make_shared<LimitedRequest>(board, accepted->m_organisation);
     if (limited->m_decision.m_reason != Reason::None) {
         countRefusal(*board.m_metrics, limited->m_decision.m_reason, accepted->m_request.m_class);
         response.status = httpStatus(Outcome::NotRun, limited->m_decision.m_reason);
@@ -442,7 +442,7 @@
         return;
     }
     if (accepted->m_request.m_stream) {
-        answerStream(board, std::make_shared<AcceptedRequest>(std::move(*accepted)), std::move(limited), response);
+        answerStream(board, std::make_shared<AcceptedRequest>(std::move(*accepted)), limited, response);
         return;
     }
     CancelToken cancel;
--- a/src/entry_process.cpp
+++ b/src/entry_process.cpp
@@ -249,7 +249,7 @@
 
 } // namespace
 
-absl::StatusOr<std::shared_ptr<Entry>> startEntry(const Settings &settings, Clock &clock, EntryParts parts)
+absl::StatusOr<std::shared_ptr<Entry>> startEntry(const Settings &settings, Clock &clock, const EntryParts &parts)
 {
     const std::shared_ptr<Entry> entry = makeEntry(settings, clock, parts);
     entry->m_server = makeServer(settings);
