--- a/tests/test_orders.cpp
+++ b/tests/test_orders.cpp
@@ -142,7 +142,7 @@
 std::vector<EngineOrder> act(Fleet &fleet, OrderState &state, const std::vector<ModelDemand> &demand)
 {
     const DesiredState desired = planEngines(demand, fleet.m_reports);
-    const std::vector<EngineOrder> orders = reconcile(state, desired, fleet.m_reports, demand, timeOf(fleet)).m_orders;
+    std::vector<EngineOrder> orders = reconcile(state, desired, fleet.m_reports, demand, timeOf(fleet)).m_orders;
     for (const EngineOrder &order : orders) {
         obey(fleet, order);
     }
