--- a/bench/bench_entry.cpp
+++ b/bench/bench_entry.cpp
@@ -110,6 +110,7 @@
 double medianTime(int calls, const Call &call)
 {
     std::vector<double> times;
+    times.reserve(static_cast<size_t>(calls));
     for (int i = 0; i < calls; ++i) {
         const auto begun = std::chrono::steady_clock::now();
         call();
@@ -135,6 +136,7 @@
     std::atomic<int64_t> answered = 0;
     const auto end = std::chrono::steady_clock::now() + duration;
     std::vector<std::thread> callers;
+    callers.reserve(static_cast<size_t>(threads));
     for (int i = 0; i < threads; ++i) {
         callers.emplace_back([&] {
             const auto client = makeClient(address);
@@ -154,6 +156,7 @@
 {
     std::atomic<int> whole = 0;
     std::vector<std::thread> callers;
+    callers.reserve(static_cast<size_t>(streams));
     for (int i = 0; i < streams; ++i) {
         callers.emplace_back([&, i] {
             const auto client = makeClient(address);
--- a/src/entry_http.cpp
+++ b/src/entry_http.cpp
@@ -452,6 +452,28 @@
     response.set_content(dumpJson(answerBody(*accepted, result)), JsonType);
 }
 
+nlohmann::json describeState(Blackboard &board)
+{
+    const auto configuration = snapshot(board.m_configuration);
+    nlohmann::json pools = nlohmann::json::array();
+    for (const PoolStatus &pool : poolStatus(*board.m_pools)) {
+        pools.push_back({{"name", pool.m_name},
+                         {"replicas", pool.m_replicas},
+                         {"usable", pool.m_usable},
+                         {"running", pool.m_running},
+                         {"queued_urgent", pool.m_queuedUrgent},
+                         {"queued_batch", pool.m_queuedBatch},
+                         {"capacity", pool.m_capacity}});
+    }
+    return {{"node", board.m_settings.m_node},
+            {"ready", board.m_ready && !board.m_draining},
+            {"draining", board.m_draining.load()},
+            {"configuration_revision", configuration ? configuration->m_revision : 0},
+            {"live_entries", board.m_liveEntries.load()},
+            {"open_requests", board.m_openRequests.load()},
+            {"pools", std::move(pools)}};
+}
+
 } // namespace
 
 void configureServer(httplib::Server &server, const Settings &settings)
@@ -501,6 +523,9 @@
         response.status = ready ? 200 : 503;
         response.set_content(ready ? "{\"ready\":true}" : "{\"ready\":false}", JsonType);
     });
+    server.Get("/statusz", [&board](const httplib::Request & /*request*/, httplib::Response &response) {
+        response.set_content(dumpJson(describeState(board)), JsonType);
+    });
     server.Get("/metrics", [&board](const httplib::Request & /*request*/, httplib::Response &response) {
         response.set_content(exposeMetrics(*board.m_metrics), "text/plain; version=0.0.4");
     });
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -7,6 +7,7 @@
 
 #include <CLI/CLI.hpp>
 #include <fmt/format.h>
+#include <httplib.h>
 
 #include "entry.h"
 #include "main_admin.h"
@@ -124,6 +125,52 @@
     command->callback([settings, &exitCode] { exitCode = runServe(*settings); });
 }
 
+int runStatus(const std::string &server, bool json)
+{
+    const std::optional<Address> address = parseAddress(server);
+    if (!address) {
+        fmt::print(stderr, "--server must be an IP number and a port\n");
+        return ExitUsage;
+    }
+    httplib::Client client(address->m_host, address->m_port);
+    const httplib::Result result = client.Get("/statusz");
+    const nlohmann::json state = nlohmann::json::parse(result ? result->body : "", nullptr, false);
+    if (!result || result->status != 200 || !state.is_object()) {
+        fmt::print(stderr, "{} gives no answer\n", server);
+        return ExitUnreachable;
+    }
+    if (json) {
+        fmt::print("{}\n", state.dump(2));
+        return ExitDone;
+    }
+    fmt::print("node {}, ready {}, draining {}, configuration revision {}, live entries {}, open requests {}\n",
+               state.value("node", ""),
+               state.value("ready", false),
+               state.value("draining", false),
+               state.value("configuration_revision", int64_t(0)),
+               state.value("live_entries", int64_t(0)),
+               state.value("open_requests", int64_t(0)));
+    for (const nlohmann::json &pool : state.value("pools", nlohmann::json::array())) {
+        fmt::print("  {}: {} of {} replicas usable, {} running, {} queued\n",
+                   pool.value("name", ""),
+                   pool.value("usable", 0),
+                   pool.value("replicas", 0),
+                   pool.value("running", 0),
+                   pool.value("queued_urgent", 0) + pool.value("queued_batch", 0));
+    }
+    return ExitDone;
+}
+
+void addStatusCommand(CLI::App &app, int &exitCode)
+{
+    CLI::App *command = app.add_subcommand("status", "Show the state of an entry process.");
+    auto server = std::make_shared<std::string>("127.0.0.1:8080");
+    auto json = std::make_shared<bool>(false);
+    command->add_option("--server", *server, "Address of the entry")->capture_default_str();
+    command->add_flag("--json", *json, "Print JSON");
+    command->callback([server, json, &exitCode] { exitCode = runStatus(*server, *json); });
+}
+
 } // namespace
 
 int main(int argc, char **argv)
@@ -135,6 +182,7 @@
     app.add_subcommand("version", "Print the version.")->callback([] { fmt::print("medlarramp {}\n", MEDLARRAMP_VERSION); });
     addServeCommand(app, exitCode);
     addCheckCommand(app, exitCode);
+    addStatusCommand(app, exitCode);
     addAdminCommands(app, exitCode);
     addDemoCommand(app, exitCode);
     try {
--- a/tests/test_entry.cpp
+++ b/tests/test_entry.cpp
@@ -239,7 +239,9 @@
     // Guards against a change that is confirmed but not in force on some entry.
     void changeIsInForceOnEveryEntry()
     {
+        const int64_t revision = get(*m_entries[0], "/statusz").m_body.value("configuration_revision", int64_t(0));
         for (const auto &entry : m_entries) {
+            CPPUNIT_ASSERT(get(*entry, "/statusz").m_body.value("configuration_revision", int64_t(0)) >= revision);
             const Answer answer = post(*entry, "/v1/pipelines/write/requests", {{"input", "hello"}});
             CPPUNIT_ASSERT_EQUAL_MESSAGE(answer.m_text, 200, answer.m_status);
             const Answer revoked = post(*entry, "/v1/pipelines/write/requests", {{"input", "hello"}}, "", "revoked-key");
