Catch up before the first readiness; ask the store when no peer is heard

A started node could become ready with an older configuration than its peers, and a quiet watch was taken for contact with the store for 35 s. The claim owner's phase was read without its lock.

--- a/src/entry_claims.cpp
+++ b/src/entry_claims.cpp
@@ -560,6 +560,12 @@
     }
 }
 
+bool isInvolved(ClaimService &service, const OwnedPartition &partition)
+{
+    const std::lock_guard lock(service.m_mutex);
+    return partition.m_owner.m_phase != OwnerPhase::Standby;
+}
+
 /** Waits for store actions or the next timer, whichever is first. */
 std::optional<StoreActions> nextActions(ClaimService &service, OwnedPartition &partition)
 {
@@ -606,7 +612,7 @@
     TimePoint nextObserve{};
     while (!isStopped(stop)) {
         const bool preferred = isPreferred(service, partition);
-        const bool involved = preferred || owned.m_owner.m_phase != OwnerPhase::Standby;
+        const bool involved = preferred || isInvolved(service, owned);
         if (involved && now(clock) >= nextObserve) {
             service.m_lease.m_wanted = true;
             nextObserve = now(clock) + OwnerObserveInterval;
--- a/src/entry_control.cpp
+++ b/src/entry_control.cpp
@@ -345,6 +345,16 @@
     return keys;
 }
 
+Duration since(TimePoint time, TimePoint current)
+{
+    return current - time;
+}
+
+TimePoint storeContact(const ConfigKeeper &keeper)
+{
+    return TimePoint(Duration(keeper.m_storeContact.load()));
+}
+
 /** A node cut off from the store and from peers it knew cannot learn of changes, so it is not ready. */
 bool hasContact(const ConfigKeeper &keeper, const Transport *transport, bool knewPeers)
 {
@@ -352,17 +362,40 @@
         return true;
     }
     const TimePoint current = now(keeper.m_board.m_clock);
-    const TimePoint storeContact = TimePoint(Duration(keeper.m_storeContact.load()));
-    const TimePoint peerContact = members(*transport)->m_lastHeard;
-    // A quiet watch shows its life by progress notifications within its idle limit.
-    constexpr seconds StoreContactLimit{35};
-    return current - peerContact < NoContactLimit || current - storeContact < StoreContactLimit;
+    return since(members(*transport)->m_lastHeard, current) < NoContactLimit || since(storeContact(keeper), current) < NoContactLimit;
+}
+
+/** A node that hears no peer asks the store itself, because a quiet watch does not tell whether it still works. */
+void seekContact(ConfigKeeper &keeper, Transport *transport, bool knewPeers)
+{
+    constexpr seconds ContactInterval{1};
+    if (!knewPeers || !transport) {
+        return;
+    }
+    const TimePoint current = now(keeper.m_board.m_clock);
+    const bool alone = since(members(*transport)->m_lastHeard, current) > NoContactLimit / 2;
+    if (alone && since(storeContact(keeper), current) > ContactInterval) {
+        readStore(keeper, transport);
+    }
+}
+
+/** Whether this node has every change that a live member has. */
+bool hasCaughtUp(ConfigKeeper &keeper, const Transport *transport)
+{
+    if (!transport) {
+        return true;
+    }
+    const int64_t own = currentCursor(keeper);
+    const auto view = members(*transport);
+    return std::all_of(view->m_live.begin(), view->m_live.end(), [own](const Member &member) { return member.m_cursor <= own; });
 }
 
 void updateReadiness(ConfigKeeper &keeper, Transport *transport, bool knewPeers)
 {
     Blackboard &board = keeper.m_board;
-    const bool ready = keeper.m_complete && snapshot(board.m_configuration) && hasContact(keeper, transport, knewPeers);
+    // A started node catches up before it is ready; later it lags by no more than the way of a change.
+    const bool current = board.m_ready || hasCaughtUp(keeper, transport);
+    const bool ready = keeper.m_complete && current && snapshot(board.m_configuration) && hasContact(keeper, transport, knewPeers);
     if (board.m_ready.exchange(ready) != ready) {
         writeLog(LogLevel::Info, "entry", ready ? "Ready." : "Not ready.");
     }
@@ -409,6 +442,7 @@
         if (current >= nextRead) {
             nextRead = current + VmListInterval;
             readVmList(controller);
+            seekContact(keeper, controller.m_transport, knewPeers);
             exposeState(keeper, controller.m_transport);
         }
         std::vector<uint64_t> nodes = liveEntryKeys(board, controller.m_transport);
--- a/src/entry_http.cpp
+++ b/src/entry_http.cpp
@@ -52,7 +52,7 @@
                 return;
             }
             task = std::move(m_tasks.front());
-            m_tasks.erase(m_tasks.begin());
+            m_tasks.pop_front();
         }
         m_hasRoom.notify_one();
         task();
--- a/src/entry_http.h
+++ b/src/entry_http.h
@@ -7,6 +7,8 @@
  * docs/api.md.
  */
 
+#include <deque>
+
 #include <httplib.h>
 
 #include "entry.h"
@@ -29,7 +31,7 @@
     std::mutex m_mutex;
     std::condition_variable m_hasTask;
     std::condition_variable m_hasRoom;
-    std::vector<std::function<void()>> m_tasks; ///< in order of arrival
+    std::deque<std::function<void()>> m_tasks; ///< in order of arrival
     std::vector<std::thread> m_threads;
     size_t m_maxQueued = 0;
     bool m_stopped = false;
