--- a/src/core.cpp
+++ b/src/core.cpp
@@ -15,6 +15,10 @@
 #include <urcu.h>
 #include <xxhash.h>
 
+#ifdef __SANITIZE_THREAD__
+#include <sanitizer/tsan_interface.h>
+#endif
+
 namespace Medlarramp {
 
 //-----------------------------------------------------------------------------
@@ -418,6 +422,29 @@
 
 namespace {
 
+// ThreadSanitizer does not see the barriers inside liburcu, so the end of a read and of a grace period are told to it.
+#ifdef __SANITIZE_THREAD__
+char rcuOrder = 0;
+
+void noteReadEnd()
+{
+    __tsan_release(&rcuOrder);
+}
+
+void noteGracePeriod()
+{
+    __tsan_acquire(&rcuOrder);
+}
+#else
+void noteReadEnd()
+{
+}
+
+void noteGracePeriod()
+{
+}
+#endif
+
 struct RcuThread {
     RcuThread()
     {
@@ -441,12 +468,14 @@
 
 RcuReadGuard::~RcuReadGuard()
 {
+    noteReadEnd();
     rcu_read_unlock();
 }
 
 void synchronizeRcu()
 {
     synchronize_rcu();
+    noteGracePeriod();
 }
 
 //-----------------------------------------------------------------------------
--- a/src/entry_claims.cpp
+++ b/src/entry_claims.cpp
@@ -549,7 +549,8 @@
         return;
     }
     std::set<Identifier> live = {service.m_process};
-    for (const Member &member : members(*transport)->m_live) {
+    const auto view = members(*transport);
+    for (const Member &member : view->m_live) {
         live.insert({hash64(member.m_node), member.m_boot});
     }
     const std::lock_guard lock(service.m_mutex);
--- a/src/entry_control.cpp
+++ b/src/entry_control.cpp
@@ -334,7 +334,8 @@
 {
     std::vector<uint64_t> keys;
     if (transport) {
-        for (const Member &member : members(*transport)->m_live) {
+        const auto view = members(*transport);
+        for (const Member &member : view->m_live) {
             if (member.m_readiness != Readiness::Draining && member.m_node != board.m_settings.m_node) {
                 keys.push_back(hash64(member.m_node));
             }
