--- /dev/null
+++ b/src/gateway_attempts.cpp
@@ -0,0 +1,493 @@
+#include <algorithm>
+#include <charconv>
+
+#include <fmt/format.h>
+
+#include "gateway_internal.h"
+
+namespace Medlarramp {
+
+namespace {
+
+constexpr Duration MinAnswerTimeout = milliseconds(350); ///< an idempotent attempt gets at least this; above the slowest ordinary work
+constexpr int64_t AnswerTimeoutFactor = 6; ///< times the usual time of the replica
+constexpr int MaxPlanRestarts = 1; ///< stages are worked out anew so often when their results are gone
+
+void handleAttemptEnd(Gateway &gateway, Exchange &exchange, AttemptEnd end, Reason reason);
+
+std::vector<ReplicaView> viewReplicas(Gateway &gateway, const Exchange &exchange)
+{
+    std::vector<ReplicaView> views;
+    const TimePoint now = gatewayNow(gateway);
+    for (const std::string &id : gateway.m_replicasByService[exchange.m_service]) {
+        const Upstream &upstream = gateway.m_upstreams.at(id);
+        ReplicaView view;
+        view.m_id = id;
+        view.m_failureDomain = upstream.m_record.m_failureDomain;
+        view.m_slots = upstream.m_record.m_slots;
+        view.m_running = upstream.m_running;
+        for (const auto &[node, running] : upstream.m_peerRunning) {
+            view.m_peerRunning += running;
+        }
+        view.m_pendingTokens = upstream.m_pendingTokens;
+        view.m_latency = upstream.m_latency;
+        view.m_suspected = now < upstream.m_suspectedUntil;
+        view.m_tried = exchange.m_tried.contains(id);
+        views.push_back(std::move(view));
+    }
+    return views;
+}
+
+std::map<std::string, int64_t> inputBytesByDomain(Gateway &gateway, const Exchange &exchange)
+{
+    std::map<std::string, int64_t> bytes;
+    std::unordered_map<std::string, const Upstream *> byAddress;
+    for (size_t stage = 0; stage < exchange.m_plan.m_stages.size(); ++stage) {
+        if (exchange.m_plan.m_stages[stage].m_freed) {
+            continue;
+        }
+        for (const std::string &handle : exchange.m_plan.m_stages[stage].m_handles) {
+            const std::optional<SocketAddress> address = Platform::resultAddress(handle);
+            for (const std::string &id : gateway.m_replicasByService[exchange.m_route->m_stages[stage].m_service]) {
+                const Upstream &upstream = gateway.m_upstreams.at(id);
+                if (address && upstream.m_address == *address) {
+                    bytes[upstream.m_record.m_failureDomain] += exchange.m_route->m_stages[stage].m_resultBytes;
+                }
+            }
+        }
+    }
+    return bytes;
+}
+
+std::optional<std::string> chooseReplica(Gateway &gateway, const Exchange &exchange)
+{
+    const std::vector<ReplicaView> views = viewReplicas(gateway, exchange);
+    PlacementRequest request;
+    request.m_parts = exchange.m_parts;
+    request.m_callerDomain = gateway.m_settings.m_failureDomain;
+    request.m_gateways = gateway.m_membership.m_members.size();
+    std::optional<size_t> index;
+    if (exchange.m_route->m_usesEngine) {
+        request.m_inputBytes = inputBytesByDomain(gateway, exchange);
+        index = placePrompt(views, request);
+    } else {
+        index = placePlain(views, request, gateway.m_random);
+    }
+    return index ? std::optional(views[*index].m_id) : std::nullopt;
+}
+
+bool isPassedOn(const HttpHeader &header, const std::vector<std::string> &connectionNames)
+{
+    if (isHopByHop(header.m_name) || Platform::isReservedHeader(header.m_name)) {
+        return false;
+    }
+    return std::none_of(
+        connectionNames.begin(), connectionNames.end(), [&](const std::string &name) { return equalHeaderNames(name, header.m_name); });
+}
+
+std::string formatAttempt(Gateway &gateway, const Exchange &exchange, const std::string &replica)
+{
+    HttpHeaders headers;
+    const std::vector<std::string> connectionNames = connectionTokens(exchange.m_request.m_headers);
+    for (const HttpHeader &header : exchange.m_request.m_headers) {
+        const bool replaced = exchange.m_hasLastEvent && equalHeaderNames(header.m_name, Platform::LastEventId);
+        if (!replaced && isPassedOn(header, connectionNames)) {
+            headers.push_back(header);
+        }
+    }
+    const int64_t left = (exchange.m_deadline - gatewayNow(gateway)).count() / 1000;
+    headers.push_back({std::string(Platform::DeadlineMs), fmt::format("{}", std::max<int64_t>(1, left))});
+    headers.push_back({std::string(Platform::ExpectedReplica), replica});
+    if (exchange.m_organisation) {
+        headers.push_back({std::string(Platform::Tenant), exchange.m_configuration->m_organisations[*exchange.m_organisation].m_name});
+    }
+    if (exchange.m_hasLastEvent) {
+        headers.push_back({std::string(Platform::LastEventId), fmt::format("{}", exchange.m_lastEvent)});
+    }
+    const std::vector<std::string> inputs = finalInputs(*exchange.m_route, exchange.m_plan);
+    if (!inputs.empty()) {
+        headers.push_back({std::string(Platform::Inputs), Platform::formatInputs(inputs)});
+    }
+    return formatRequest(exchange.m_request.m_method, exchange.m_request.m_target, headers, exchange.m_request.m_body);
+}
+
+int64_t promptTokens(const Exchange &exchange)
+{
+    int64_t tokens = 0;
+    for (const PromptPart &part : exchange.m_parts) {
+        tokens += part.m_tokens;
+    }
+    return tokens;
+}
+
+void releaseTokens(Gateway &gateway, Exchange &exchange)
+{
+    const auto upstream = gateway.m_upstreams.find(exchange.m_replica);
+    if (exchange.m_countsTokens && upstream != gateway.m_upstreams.end()) {
+        upstream->second.m_pendingTokens -= promptTokens(exchange);
+    }
+    exchange.m_countsTokens = false;
+}
+
+/** The attempt does not occupy its replica any more. */
+void leaveReplica(Gateway &gateway, Exchange &exchange)
+{
+    releaseTokens(gateway, exchange);
+    const auto upstream = gateway.m_upstreams.find(exchange.m_replica);
+    if (upstream != gateway.m_upstreams.end()) {
+        upstream->second.m_running -= 1;
+    }
+    exchange.m_call = 0;
+    exchange.m_attemptTimer.stop();
+}
+
+bool isWhole(const HttpReader &reader)
+{
+    return findHeader(reader.m_headers, Platform::ReplicaSeal).has_value() && !findHeader(reader.m_headers, "content-encoding");
+}
+
+HttpHeaders answerHeaders(const HttpReader &reader)
+{
+    HttpHeaders headers;
+    const std::vector<std::string> connectionNames = connectionTokens(reader.m_headers);
+    for (const HttpHeader &header : reader.m_headers) {
+        const bool listed = std::any_of(
+            connectionNames.begin(), connectionNames.end(), [&](const std::string &name) { return equalHeaderNames(name, header.m_name); });
+        if (!listed && !isHopByHop(header.m_name)) {
+            headers.push_back(header);
+        }
+    }
+    return headers;
+}
+
+bool saysNotRun(const HttpReader &reader)
+{
+    return reader.m_status == HTTP_STATUS_MISDIRECTED_REQUEST || findHeader(reader.m_headers, Platform::NotExecuted).has_value();
+}
+
+bool isSuccess(int status)
+{
+    return status >= 200 && status < 300;
+}
+
+//-----------------------------------------------------------------------------
+// Streams
+//-----------------------------------------------------------------------------
+
+/** The number after "id:" in an event. */
+std::optional<int64_t> eventId(std::string_view event)
+{
+    size_t start = 0;
+    while (start < event.size()) {
+        const size_t end = std::min(event.find('\n', start), event.size());
+        std::string_view line = event.substr(start, end - start);
+        if (line.substr(0, 3) == "id:") {
+            line.remove_prefix(3);
+            while (!line.empty() && line.front() == ' ') {
+                line.remove_prefix(1);
+            }
+            int64_t id = 0;
+            const auto [rest, error] = std::from_chars(line.data(), line.data() + line.size(), id);
+            return error == std::errc() ? std::optional(id) : std::nullopt;
+        }
+        start = end + 1;
+    }
+    return std::nullopt;
+}
+
+/** Takes the whole events from the start of @p buffer; events that the caller has already are left out. */
+std::string takeEvents(Exchange &exchange)
+{
+    std::string &buffer = exchange.m_partialEvent;
+    std::string events;
+    size_t start = 0;
+    size_t end = 0;
+    while ((end = buffer.find("\n\n", start)) != std::string::npos) {
+        const std::string_view event = std::string_view(buffer).substr(start, end + 2 - start);
+        const std::optional<int64_t> id = eventId(event);
+        const bool repeated = id && exchange.m_hasLastEvent && *id <= exchange.m_lastEvent;
+        if (!repeated) {
+            events += event;
+        }
+        if (id && !repeated) {
+            exchange.m_lastEvent = *id;
+            exchange.m_hasLastEvent = true;
+        }
+        start = end + 2;
+    }
+    buffer.erase(0, start);
+    return events;
+}
+
+void forwardEvents(Gateway &gateway, Exchange &exchange, HttpReader &reader)
+{
+    exchange.m_partialEvent += std::exchange(reader.m_body, std::string());
+    const std::string events = takeEvents(exchange);
+    if (events.empty()) {
+        return;
+    }
+    if (exchange.m_streaming) {
+        sendEvents(*exchange.m_caller, events);
+        return;
+    }
+    exchange.m_streaming = true;
+    exchange.m_attempts.m_begun = true;
+    releaseTokens(gateway, exchange);
+    releaseStages(gateway, exchange, true);
+    const Duration latency = gatewayNow(gateway) - exchange.m_attemptAt;
+    observeAttempt(gateway, exchange.m_replica, false, false, latency);
+    beginStream(gateway, *exchange.m_caller, reader.m_status, answerHeaders(reader), events);
+}
+
+bool isEventStream(const HttpReader &reader)
+{
+    return isSuccess(reader.m_status) && isWhole(reader);
+}
+
+void handleStreamEnd(Gateway &gateway, Exchange &exchange, HttpReader &reader, CallEnd end)
+{
+    forwardEvents(gateway, exchange, reader);
+    const bool whole = end == CallEnd::Done && exchange.m_partialEvent.empty();
+    exchange.m_partialEvent.clear();
+    if (whole && exchange.m_streaming) {
+        leaveReplica(gateway, exchange);
+        finishStream(gateway, exchange);
+        return;
+    }
+    handleAttemptEnd(gateway, exchange, exchange.m_streaming ? AttemptEnd::Broken : AttemptEnd::Lost, Reason::StreamTruncated);
+}
+
+//-----------------------------------------------------------------------------
+// Ends of attempts
+//-----------------------------------------------------------------------------
+
+void relayFailure(Gateway &gateway, Exchange &exchange, HttpReader &reader)
+{
+    const HttpHeaders headers = answerHeaders(reader);
+    const int status = reader.m_status;
+    const std::string body = std::move(reader.m_body);
+    finishExchange(gateway, exchange, status, headers, body);
+}
+
+/** A replica's own failure, sealed by it. */
+void handleReplicaFailure(Gateway &gateway, Exchange &exchange, HttpReader &reader)
+{
+    const Duration latency = gatewayNow(gateway) - exchange.m_attemptAt;
+    const bool isServerError = reader.m_status >= 500;
+    observeAttempt(gateway, exchange.m_replica, isServerError, false, latency);
+    exchange.m_attempts.m_ran += 1;
+    leaveReplica(gateway, exchange);
+    RepeatBudget &budget = gateway.m_repeats[exchange.m_service];
+    const TimePoint now = gatewayNow(gateway);
+    const auto budgetLeft = [&] { return takeRepeat(budget, gateway.m_settings, memberCount(gateway.m_membership, now), now); };
+    if (isServerError && decideNext(exchange.m_attempts, AttemptEnd::Failed, now, budgetLeft) == NextStep::Retry) {
+        countReason(gateway.m_retries, Reason::UpstreamError);
+        exchange.m_tried.insert(exchange.m_replica);
+        startAttempt(gateway, exchange);
+        return;
+    }
+    relayFailure(gateway, exchange, reader);
+}
+
+/** The results of stages are gone at their makers: work them out anew. */
+bool restartPlan(Gateway &gateway, Exchange &exchange)
+{
+    if (exchange.m_planRestarts >= MaxPlanRestarts || exchange.m_streaming) {
+        return false;
+    }
+    exchange.m_planRestarts += 1;
+    releaseStages(gateway, exchange, true);
+    for (PlannedStage &stage : exchange.m_plan.m_stages) {
+        if (stage.m_pieces > 0) {
+            stage = PlannedStage{stage.m_pieces, StageState::Waiting, {}, false};
+        }
+    }
+    countReason(gateway.m_retries, Reason::NotFound);
+    startStages(gateway, exchange);
+    return true;
+}
+
+void handleNotRun(Gateway &gateway, Exchange &exchange, HttpReader &reader)
+{
+    if (reader.m_status == HTTP_STATUS_CONFLICT) {
+        leaveReplica(gateway, exchange);
+        if (restartPlan(gateway, exchange)) {
+            return;
+        }
+        if (exchange.m_attempts.m_ran == 0) {
+            refuseExchange(gateway, exchange, Reason::NotFound);
+        } else {
+            failExchange(gateway, exchange, HTTP_STATUS_BAD_GATEWAY, Reason::NotFound);
+        }
+        return;
+    }
+    const bool moved = reader.m_status == HTTP_STATUS_MISDIRECTED_REQUEST;
+    handleAttemptEnd(gateway, exchange, AttemptEnd::Rejected, moved ? Reason::UpstreamLeaving : Reason::UpstreamOverloaded);
+}
+
+void handleAnswer(Gateway &gateway, Exchange &exchange, HttpReader &reader)
+{
+    if (saysNotRun(reader)) {
+        handleNotRun(gateway, exchange, reader);
+        return;
+    }
+    if (!isWhole(reader)) {
+        handleAttemptEnd(gateway, exchange, AttemptEnd::Lost, Reason::InvalidAnswer);
+        return;
+    }
+    if (!isSuccess(reader.m_status)) {
+        handleReplicaFailure(gateway, exchange, reader);
+        return;
+    }
+    observeAttempt(gateway, exchange.m_replica, false, false, gatewayNow(gateway) - exchange.m_attemptAt);
+    leaveReplica(gateway, exchange);
+    relayFailure(gateway, exchange, reader);
+}
+
+AttemptEnd endOf(CallEnd end)
+{
+    return end == CallEnd::NotConnected ? AttemptEnd::NotSent : AttemptEnd::Lost;
+}
+
+/** An attempt ended without an answer that can be passed on. */
+void handleAttemptEnd(Gateway &gateway, Exchange &exchange, AttemptEnd end, Reason reason)
+{
+    const bool moved = reason == Reason::UpstreamLeaving;
+    observeAttempt(gateway, exchange.m_replica, true, end != AttemptEnd::Rejected || moved, Duration(0));
+    const bool mayHaveRun = end == AttemptEnd::Lost || end == AttemptEnd::Broken;
+    exchange.m_attempts.m_ran += mayHaveRun ? 1 : 0;
+    const bool arrived = exchange.m_attempts.m_sent > 0 && end != AttemptEnd::NotSent;
+    leaveReplica(gateway, exchange);
+    RepeatBudget &budget = gateway.m_repeats[exchange.m_service];
+    const TimePoint now = gatewayNow(gateway);
+    const auto budgetLeft = [&] { return !arrived || takeRepeat(budget, gateway.m_settings, memberCount(gateway.m_membership, now), now); };
+    const NextStep step = decideNext(exchange.m_attempts, end, now, budgetLeft);
+    writeLog(LogLevel::Info,
+             "attempt",
+             "Attempt failed.",
+             {{"id", exchange.m_attemptId},
+              {"replica", exchange.m_replica},
+              {"reason", std::string(toString(reason))},
+              {"sent", fmt::format("{}", exchange.m_attempts.m_sent)},
+              {"ran", fmt::format("{}", exchange.m_attempts.m_ran)},
+              {"retry", step == NextStep::Retry ? "yes" : "no"}});
+    switch (step) {
+    case NextStep::Retry:
+        countReason(gateway.m_retries, reason);
+        exchange.m_tried.insert(exchange.m_replica);
+        startAttempt(gateway, exchange);
+        return;
+    case NextStep::RefuseNotRun:
+        refuseExchange(gateway, exchange, reason);
+        return;
+    case NextStep::BreakOff:
+        breakExchange(gateway, exchange, reason);
+        return;
+    case NextStep::Relay:
+    case NextStep::FailUnknown:
+        failExchange(gateway, exchange, HTTP_STATUS_BAD_GATEWAY, reason);
+        return;
+    }
+}
+
+void handleProgress(Gateway &gateway, uint64_t number, UpstreamCall &call)
+{
+    Exchange *exchange = findExchange(gateway, number);
+    if (exchange == nullptr || exchange->m_route->m_kind != RequestKind::Streaming) {
+        return;
+    }
+    HttpReader &reader = answerOf(call);
+    if (isEventStream(reader)) {
+        forwardEvents(gateway, *exchange, reader);
+    }
+}
+
+void handleCallEnd(Gateway &gateway, uint64_t number, UpstreamCall &call, CallEnd end)
+{
+    Exchange *exchange = findExchange(gateway, number);
+    if (exchange == nullptr) {
+        return;
+    }
+    HttpReader &reader = answerOf(call);
+    const bool hasHead = reader.m_state == ParseState::Body || reader.m_state == ParseState::Done;
+    exchange->m_attempts.m_sent += call.m_sent ? 1 : 0;
+    if (exchange->m_route->m_kind == RequestKind::Streaming && (exchange->m_streaming || (hasHead && isEventStream(reader)))) {
+        handleStreamEnd(gateway, *exchange, reader, end);
+        return;
+    }
+    if (end == CallEnd::Done) {
+        handleAnswer(gateway, *exchange, reader);
+        return;
+    }
+    const Reason reason = end == CallEnd::NotConnected ? Reason::ConnectFailed
+        : end == CallEnd::Lost                         ? Reason::ConnectionLost
+                                                       : Reason::InvalidAnswer;
+    handleAttemptEnd(gateway, *exchange, endOf(end), reason);
+}
+
+/** An idempotent request that another replica may run is not left with a silent one. */
+void limitAttempt(Gateway &gateway, Exchange &exchange)
+{
+    const bool mayRepeat =
+        exchange.m_attempts.m_kind == RequestKind::Idempotent && exchange.m_attempts.m_ran + 1 < exchange.m_attempts.m_maxAttempts;
+    if (!mayRepeat) {
+        return;
+    }
+    const Upstream &upstream = gateway.m_upstreams.at(exchange.m_replica);
+    const Duration usual(static_cast<int64_t>(upstream.m_latency * 1e6));
+    const Duration half = (exchange.m_deadline - gatewayNow(gateway)) / 2;
+    const Duration limit = std::min(half, std::max(MinAnswerTimeout, usual * AnswerTimeoutFactor));
+    const uint64_t number = exchange.m_number;
+    exchange.m_attemptTimer.start(gateway.m_loop, limit, [&gateway, number] {
+        Exchange *late = findExchange(gateway, number);
+        if (late == nullptr || late->m_call == 0) {
+            return;
+        }
+        late->m_attempts.m_sent += 1;
+        cancelCall(gateway, late->m_call);
+        handleAttemptEnd(gateway, *late, AttemptEnd::Lost, Reason::AttemptTimeout);
+    });
+}
+
+} // namespace
+
+void startAttempt(Gateway &gateway, Exchange &exchange)
+{
+    const std::optional<std::string> replica = chooseReplica(gateway, exchange);
+    if (!replica) {
+        if (exchange.m_streaming) {
+            breakExchange(gateway, exchange, Reason::NoUpstream);
+        } else if (exchange.m_attempts.m_ran == 0) {
+            refuseExchange(gateway, exchange, Reason::NoUpstream);
+        } else {
+            failExchange(gateway, exchange, HTTP_STATUS_BAD_GATEWAY, Reason::NoUpstream);
+        }
+        return;
+    }
+    exchange.m_replica = *replica;
+    exchange.m_attemptAt = gatewayNow(gateway);
+    Upstream &upstream = gateway.m_upstreams.at(*replica);
+    upstream.m_running += 1;
+    upstream.m_pendingTokens += promptTokens(exchange);
+    exchange.m_countsTokens = true;
+    UpstreamCall call;
+    call.m_text = formatAttempt(gateway, exchange, *replica);
+    call.m_attemptId = exchange.m_attemptId;
+    const uint64_t number = exchange.m_number;
+    call.m_onProgress = [&gateway, number](UpstreamCall &progress) { handleProgress(gateway, number, progress); };
+    call.m_onEnd = [&gateway, number](UpstreamCall &ended, CallEnd end) { handleCallEnd(gateway, number, ended, end); };
+    const bool repeatable = exchange.m_attempts.m_kind == RequestKind::Idempotent || exchange.m_attempts.m_resumable;
+    exchange.m_call = startCall(gateway, *replica, std::move(call), repeatable ? ConnectionUse::Kept : ConnectionUse::Recent)->m_number;
+    limitAttempt(gateway, exchange);
+}
+
+void stopAttempt(Gateway &gateway, Exchange &exchange)
+{
+    if (exchange.m_call != 0) {
+        const uint64_t call = exchange.m_call;
+        leaveReplica(gateway, exchange);
+        cancelCall(gateway, call);
+    }
+}
+
+} // namespace Medlarramp
--- /dev/null
+++ b/src/gateway_callers.cpp
@@ -0,0 +1,193 @@
+#include <fmt/format.h>
+
+#include "gateway_internal.h"
+
+namespace Medlarramp {
+
+namespace {
+
+constexpr size_t MaxPendingBytes = 256 * 1024; ///< of requests sent before the answer to the one before
+constexpr size_t MaxQueuedBytes = 4 * 1024 * 1024; ///< of answers that a caller does not read
+
+void readCaller(Gateway &gateway, CallerConnection &caller, std::string_view data);
+
+CallerLimits limitsOf(const Gateway &gateway)
+{
+    return gateway.m_configuration ? gateway.m_configuration->m_limits : CallerLimits();
+}
+
+void dropCaller(Gateway &gateway, CallerConnection &caller)
+{
+    const uint64_t exchange = std::exchange(caller.m_exchange, 0);
+    if (caller.m_net != nullptr) {
+        caller.m_net->close();
+        caller.m_net = nullptr;
+    }
+    if (exchange != 0) {
+        abandonExchange(gateway, exchange);
+    }
+    gateway.m_callers.erase(caller.m_self);
+}
+
+/** Sends @p answer and closes once it is written. */
+void closeWith(Gateway &gateway, CallerConnection &caller, std::string answer)
+{
+    caller.m_net->write(std::move(answer));
+    caller.m_net->closeAfterWrites();
+    caller.m_net = nullptr;
+    gateway.m_callers.erase(caller.m_self);
+}
+
+void rejectBytes(Gateway &gateway, CallerConnection &caller, int status, Reason reason)
+{
+    countReason(gateway.m_refusals, reason);
+    closeWith(gateway, caller, formatAnswer(status, {}, "", false));
+}
+
+void waitForRequest(Gateway &gateway, CallerConnection &caller)
+{
+    caller.m_timer.start(gateway.m_loop, limitsOf(gateway).m_idleTimeout, [&gateway, &caller] { dropCaller(gateway, caller); });
+}
+
+/** The head has begun: the rest of it has to come within the limit. The body may take as long as a request. */
+void waitForRest(Gateway &gateway, CallerConnection &caller)
+{
+    caller.m_timer.start(gateway.m_loop, limitsOf(gateway).m_headTimeout, [&gateway, &caller] {
+        if (caller.m_reader.m_state == ParseState::Head) {
+            rejectBytes(gateway, caller, HTTP_STATUS_REQUEST_TIMEOUT, Reason::MalformedRequest);
+            return;
+        }
+        caller.m_timer.start(gateway.m_loop, limitsOf(gateway).m_idleTimeout, [&gateway, &caller] {
+            rejectBytes(gateway, caller, HTTP_STATUS_REQUEST_TIMEOUT, Reason::MalformedRequest);
+        });
+    });
+}
+
+/** @return false when the connection has been given up. */
+bool checkReader(Gateway &gateway, CallerConnection &caller)
+{
+    switch (caller.m_reader.m_state) {
+    case ParseState::Failed:
+        rejectBytes(gateway, caller, HTTP_STATUS_BAD_REQUEST, Reason::MalformedRequest);
+        return false;
+    case ParseState::HeadTooLarge:
+        rejectBytes(gateway, caller, HTTP_STATUS_REQUEST_HEADER_FIELDS_TOO_LARGE, Reason::BodyTooLarge);
+        return false;
+    case ParseState::BodyTooLarge:
+        rejectBytes(gateway, caller, HTTP_STATUS_PAYLOAD_TOO_LARGE, Reason::BodyTooLarge);
+        return false;
+    case ParseState::Head:
+    case ParseState::Body:
+    case ParseState::Done:
+        return true;
+    }
+    return true;
+}
+
+void readCaller(Gateway &gateway, CallerConnection &caller, std::string_view data)
+{
+    if (caller.m_exchange != 0) {
+        if (caller.m_pending.size() + data.size() > MaxPendingBytes) {
+            dropCaller(gateway, caller);
+            return;
+        }
+        caller.m_pending += data;
+        return;
+    }
+    HttpReader &reader = caller.m_reader;
+    const bool fresh = !reader.m_started;
+    const size_t used = reader.feed(data);
+    if (!checkReader(gateway, caller)) {
+        return;
+    }
+    if (reader.m_state == ParseState::Done) {
+        caller.m_pending.assign(data.substr(used));
+        caller.m_timer.stop();
+        handleRequest(gateway, caller);
+        return;
+    }
+    if (reader.m_expectContinue && reader.m_state == ParseState::Body) {
+        reader.m_expectContinue = false;
+        caller.m_net->write("HTTP/1.1 100 Continue\r\n\r\n");
+    }
+    if (fresh) {
+        waitForRest(gateway, caller);
+    }
+}
+
+/** The answer is complete: on with the next request, or the end of the connection. */
+void finishAnswer(Gateway &gateway, CallerConnection &caller)
+{
+    caller.m_exchange = 0;
+    caller.m_chunked = false;
+    if (!caller.m_keepAlive) {
+        caller.m_net->closeAfterWrites();
+        caller.m_net = nullptr;
+        gateway.m_callers.erase(caller.m_self);
+        return;
+    }
+    const CallerLimits limits = limitsOf(gateway);
+    caller.m_reader.setLimits(limits.m_headBytes, limits.m_bodyBytes);
+    caller.m_reader.reset();
+    waitForRequest(gateway, caller);
+    if (!caller.m_pending.empty()) {
+        const std::string pending = std::exchange(caller.m_pending, std::string());
+        readCaller(gateway, caller, pending);
+    }
+}
+
+} // namespace
+
+CallerConnection::CallerConnection(const CallerLimits &limits) : m_reader(HTTP_REQUEST, limits.m_headBytes, limits.m_bodyBytes)
+{
+}
+
+void acceptCaller(Gateway &gateway, NetConnection *net)
+{
+    CallerConnection &caller = gateway.m_callers.emplace_back(limitsOf(gateway));
+    caller.m_self = std::prev(gateway.m_callers.end());
+    caller.m_net = net;
+    net->m_onData = [&gateway, &caller](std::string_view data) { readCaller(gateway, caller, data); };
+    net->m_onClose = [&gateway, &caller](CloseCause, const absl::Status &) {
+        caller.m_net = nullptr;
+        dropCaller(gateway, caller);
+    };
+    waitForRequest(gateway, caller);
+}
+
+void sendAnswer(Gateway &gateway, CallerConnection &caller, int status, const HttpHeaders &headers, std::string_view body)
+{
+    caller.m_keepAlive = caller.m_keepAlive && !gateway.m_draining;
+    caller.m_net->write(formatAnswer(status, headers, body, caller.m_keepAlive));
+    finishAnswer(gateway, caller);
+}
+
+void beginStream(Gateway &gateway, CallerConnection &caller, int status, const HttpHeaders &headers, std::string_view events)
+{
+    caller.m_keepAlive = caller.m_keepAlive && !gateway.m_draining;
+    caller.m_chunked = true;
+    caller.m_net->write(formatChunkedHead(status, headers, caller.m_keepAlive) + formatChunk(events));
+}
+
+void sendEvents(CallerConnection &caller, std::string_view events)
+{
+    if (caller.m_net->queuedBytes() < MaxQueuedBytes) {
+        caller.m_net->write(formatChunk(events));
+    }
+}
+
+void endStream(Gateway &gateway, CallerConnection &caller)
+{
+    caller.m_net->write(std::string(LastChunk));
+    finishAnswer(gateway, caller);
+}
+
+void breakOff(Gateway &gateway, CallerConnection &caller)
+{
+    caller.m_exchange = 0;
+    caller.m_net->close();
+    caller.m_net = nullptr;
+    gateway.m_callers.erase(caller.m_self);
+}
+
+} // namespace Medlarramp
--- /dev/null
+++ b/src/gateway_peers.cpp
@@ -0,0 +1,275 @@
+#include <algorithm>
+#include <cstring>
+#include <sstream>
+
+#include <cereal/archives/binary.hpp>
+#include <cereal/types/string.hpp>
+#include <cereal/types/utility.hpp>
+#include <cereal/types/vector.hpp>
+#include <fmt/format.h>
+
+#include "gateway_internal.h"
+
+namespace Medlarramp {
+
+namespace {
+
+constexpr size_t MaxPeerMessageBytes = 1024 * 1024;
+constexpr size_t LengthBytes = 4;
+constexpr Duration PeerConnectTimeout = milliseconds(400); ///< several round trips between failure domains, one lost packet included
+constexpr Duration PeerSilence = milliseconds(3000);
+constexpr Duration PeerPingAfter = milliseconds(250); ///< without a message from a peer that owes a result
+constexpr Duration PeerLostAfter = milliseconds(1200); ///< without a message; a stall of the scheduler is shorter
+
+void readPeer(Gateway &gateway, PeerLink &link, std::string_view data);
+
+std::string encodeMessage(const PeerMessage &message)
+{
+    std::ostringstream stream;
+    {
+        cereal::BinaryOutputArchive archive(stream);
+        archive(message);
+    }
+    const std::string body = stream.str();
+    const auto size = static_cast<uint32_t>(body.size());
+    std::string text(LengthBytes, '\0');
+    std::memcpy(text.data(), &size, LengthBytes);
+    return text + body;
+}
+
+std::optional<PeerMessage> decodeMessage(std::string body)
+{
+    try {
+        std::istringstream stream(std::move(body));
+        cereal::BinaryInputArchive archive(stream);
+        PeerMessage message;
+        archive(message);
+        const bool known = message.m_kind < PeerKind::Count && message.m_reason < static_cast<uint8_t>(Reason::Count);
+        return known ? std::optional(std::move(message)) : std::nullopt;
+    } catch (const std::exception &) {
+        return std::nullopt; // the caller counts and logs it
+    }
+}
+
+PeerLink *findLink(Gateway &gateway, const std::string &node)
+{
+    for (PeerLink &link : gateway.m_peers) {
+        if (link.m_node == node && link.m_net != nullptr) {
+            return &link;
+        }
+    }
+    return nullptr;
+}
+
+void removeLink(Gateway &gateway, PeerLink &link)
+{
+    if (link.m_net != nullptr) {
+        link.m_net->close();
+    }
+    gateway.m_peers.remove_if([&link](const PeerLink &other) { return &other == &link; });
+}
+
+/** The link to a peer has ended or is silent. Its tasks are dropped, and tasks that it owes go to the next owner. */
+void loseLink(Gateway &gateway, PeerLink &link, std::string_view cause)
+{
+    const std::string node = link.m_node;
+    removeLink(gateway, link);
+    if (node.empty() || findLink(gateway, node) != nullptr) {
+        return;
+    }
+    writeLog(LogLevel::Info, "peers", "Lost a gateway.", {{"node", node}, {"cause", std::string(cause)}});
+    suspectMember(gateway.m_membership, node, gatewayNow(gateway));
+    cancelSubmitter(gateway, node);
+    resubmitFrom(gateway, node);
+}
+
+void attachLink(Gateway &gateway, PeerLink &link)
+{
+    link.m_lastHeard = gatewayNow(gateway);
+    link.m_net->m_onData = [&gateway, &link](std::string_view data) { readPeer(gateway, link, data); };
+    link.m_net->m_onClose = [&gateway, &link](CloseCause, const absl::Status &status) {
+        link.m_net = nullptr;
+        loseLink(gateway, link, std::string(status.message()));
+    };
+}
+
+PeerLink *openLink(Gateway &gateway, const std::string &node)
+{
+    const auto member = gateway.m_membership.m_members.find(node);
+    const std::optional<SocketAddress> address =
+        member == gateway.m_membership.m_members.end() ? std::nullopt : parseSocketAddress(member->second.m_address);
+    if (!address) {
+        return nullptr;
+    }
+    PeerLink &link = gateway.m_peers.emplace_back();
+    link.m_node = node;
+    link.m_outgoing = true;
+    ConnectionOptions options;
+    options.m_connectTimeout = PeerConnectTimeout;
+    options.m_silenceTimeout = PeerSilence;
+    link.m_net = NetConnection::connect(gateway.m_loop, *address, options);
+    attachLink(gateway, link);
+    PeerMessage hello;
+    hello.m_kind = PeerKind::Hello;
+    hello.m_node = gateway.m_settings.m_node;
+    link.m_net->write(encodeMessage(hello));
+    return &link;
+}
+
+StageTask taskOf(const PeerMessage &message, const std::string &submitter, TimePoint now)
+{
+    StageTask task;
+    task.m_submitter = submitter;
+    task.m_submission = message.m_submission;
+    task.m_request = message.m_request;
+    task.m_stage = message.m_stage;
+    task.m_key = message.m_key;
+    task.m_inputs = message.m_handles;
+    task.m_rank = message.m_rank;
+    task.m_deadline = now + Duration(message.m_leftUs);
+    task.m_due = now + Duration(message.m_dueUs);
+    task.m_resultBytes = message.m_resultBytes;
+    task.m_failureDomain = message.m_failureDomain;
+    constexpr int32_t MaxPieces = 4096; // of one stage of one request
+    task.m_pieces.resize(static_cast<size_t>(std::clamp(message.m_pieces, 0, MaxPieces)));
+    for (size_t i = 0; i < task.m_pieces.size(); ++i) {
+        task.m_pieces[i] = static_cast<int>(i);
+    }
+    return task;
+}
+
+void applyLoads(Gateway &gateway, const std::string &node, const PeerMessage &message)
+{
+    for (auto &[id, upstream] : gateway.m_upstreams) {
+        upstream.m_peerRunning.erase(node);
+    }
+    for (const auto &[replica, running] : message.m_loads) {
+        const auto upstream = gateway.m_upstreams.find(replica);
+        if (upstream != gateway.m_upstreams.end()) {
+            upstream->second.m_peerRunning[node] = running;
+        }
+    }
+}
+
+void handleMessage(Gateway &gateway, PeerLink &link, PeerMessage &message)
+{
+    switch (message.m_kind) {
+    case PeerKind::Hello:
+        link.m_node = message.m_node;
+        return;
+    case PeerKind::Submit:
+        enqueueTask(gateway, message.m_service, taskOf(message, link.m_node, gatewayNow(gateway)));
+        return;
+    case PeerKind::Cancel:
+        cancelEnqueued(gateway, message.m_service, link.m_node, message.m_submission);
+        return;
+    case PeerKind::Release:
+        releaseHandles(gateway, message.m_service, message.m_handles);
+        return;
+    case PeerKind::Result:
+        handleStageResult(gateway, message.m_submission, static_cast<Reason>(message.m_reason), std::move(message.m_handles));
+        return;
+    case PeerKind::Ping: {
+        PeerMessage pong;
+        pong.m_kind = PeerKind::Pong;
+        link.m_net->write(encodeMessage(pong));
+        return;
+    }
+    case PeerKind::Load:
+        applyLoads(gateway, link.m_node, message);
+        return;
+    case PeerKind::Pong:
+    case PeerKind::Count:
+        return;
+    }
+}
+
+bool isLinked(const Gateway &gateway, const PeerLink *link)
+{
+    return std::any_of(gateway.m_peers.begin(), gateway.m_peers.end(), [link](const PeerLink &other) { return &other == link; });
+}
+
+void readPeer(Gateway &gateway, PeerLink &link, std::string_view data)
+{
+    link.m_lastHeard = gatewayNow(gateway);
+    link.m_buffer += data;
+    while (link.m_buffer.size() >= LengthBytes) {
+        uint32_t size = 0;
+        std::memcpy(&size, link.m_buffer.data(), LengthBytes);
+        if (size > MaxPeerMessageBytes) {
+            countReason(gateway.m_refusals, Reason::PeerMessageTooLarge);
+            loseLink(gateway, link, "message too large");
+            return;
+        }
+        if (link.m_buffer.size() < LengthBytes + size) {
+            return;
+        }
+        std::optional<PeerMessage> message = decodeMessage(link.m_buffer.substr(LengthBytes, size));
+        link.m_buffer.erase(0, LengthBytes + size);
+        if (!message) {
+            countReason(gateway.m_refusals, Reason::PeerMessageMalformed);
+            loseLink(gateway, link, "malformed message");
+            return;
+        }
+        handleMessage(gateway, link, *message);
+        if (!isLinked(gateway, &link)) {
+            return;
+        }
+    }
+}
+
+/** Whether the peer has open tasks of this gateway. */
+bool owesResult(const Gateway &gateway, const std::string &node)
+{
+    return std::any_of(
+        gateway.m_submissions.begin(), gateway.m_submissions.end(), [&](const auto &entry) { return entry.second.m_owner == node; });
+}
+
+} // namespace
+
+void acceptPeer(Gateway &gateway, NetConnection *net)
+{
+    PeerLink &link = gateway.m_peers.emplace_back();
+    link.m_net = net;
+    attachLink(gateway, link);
+}
+
+bool sendToPeer(Gateway &gateway, const std::string &node, const PeerMessage &message)
+{
+    PeerLink *link = findLink(gateway, node);
+    if (link == nullptr) {
+        link = openLink(gateway, node);
+    }
+    if (link == nullptr) {
+        return false;
+    }
+    if (!owesResult(gateway, node)) {
+        link->m_lastHeard = gatewayNow(gateway); // silence counts from the first open task
+    }
+    link->m_net->write(encodeMessage(message));
+    return true;
+}
+
+void checkPeers(Gateway &gateway)
+{
+    const TimePoint now = gatewayNow(gateway);
+    std::vector<PeerLink *> silent;
+    for (PeerLink &link : gateway.m_peers) {
+        if (link.m_node.empty() || !owesResult(gateway, link.m_node)) {
+            continue;
+        }
+        const Duration quiet = now - link.m_lastHeard;
+        if (quiet > PeerLostAfter) {
+            silent.push_back(&link);
+        } else if (quiet > PeerPingAfter) {
+            link.m_net->write(encodeMessage(PeerMessage()));
+        }
+    }
+    for (PeerLink *link : silent) {
+        if (isLinked(gateway, link)) {
+            loseLink(gateway, *link, "silent");
+        }
+    }
+}
+
+} // namespace Medlarramp
--- /dev/null
+++ b/src/gateway_run.cpp
@@ -0,0 +1,225 @@
+#include <csignal>
+#include <fstream>
+#include <sstream>
+
+#include <fmt/format.h>
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+
+#include "gateway_internal.h"
+
+namespace Medlarramp {
+
+namespace {
+
+constexpr Duration TickInterval = milliseconds(250);
+constexpr Duration ListenAfterTerm = milliseconds(3500); ///< readiness is asked each second and counts after two misses
+constexpr Duration ExitMargin = milliseconds(400); ///< between the last answer and SIGKILL
+constexpr size_t MaxOperatorRequestBytes = 16 * 1024;
+
+bool isReady(const Gateway &gateway)
+{
+    return gateway.m_configuration && gateway.m_store.m_listed && !gateway.m_draining;
+}
+
+//-----------------------------------------------------------------------------
+// Readiness and metrics
+//-----------------------------------------------------------------------------
+
+void addCounts(prometheus::Registry &registry,
+               const std::string &name,
+               const std::string &help,
+               const std::array<uint64_t, static_cast<size_t>(Reason::Count)> &counts)
+{
+    auto &family = prometheus::BuildCounter().Name(name).Help(help).Register(registry);
+    for (size_t i = 0; i < counts.size(); ++i) {
+        if (counts[i] > 0) {
+            family.Add({{"reason", std::string(toString(static_cast<Reason>(i)))}}).Increment(static_cast<double>(counts[i]));
+        }
+    }
+}
+
+void addGauge(prometheus::Registry &registry, const std::string &name, const std::string &help, double value)
+{
+    prometheus::BuildGauge().Name(name).Help(help).Register(registry).Add({}).Set(value);
+}
+
+std::string formatMetrics(const Gateway &gateway)
+{
+    prometheus::Registry registry;
+    addCounts(registry, "medlarramp_refusals_total", "Answers of the gateway's own, by reason", gateway.m_refusals);
+    addCounts(registry, "medlarramp_retries_total", "Attempts and tasks sent again, by reason", gateway.m_retries);
+    addGauge(registry, "medlarramp_answered", "Answers of replicas passed on", static_cast<double>(gateway.m_answered));
+    addGauge(registry, "medlarramp_open_requests", "Requests without an answer", static_cast<double>(gateway.m_exchanges.size()));
+    addGauge(registry, "medlarramp_gateways", "Gateways in the membership", static_cast<double>(gateway.m_membership.m_members.size()));
+    addGauge(registry, "medlarramp_replicas", "Replicas in the registry", static_cast<double>(gateway.m_registry.m_replicas.size()));
+    const double version = gateway.m_configuration ? static_cast<double>(gateway.m_configuration->m_version) : 0;
+    addGauge(registry, "medlarramp_configuration_version", "Version in force", version);
+    auto &waiting = prometheus::BuildGauge().Name("medlarramp_queued_tasks").Help("Stage tasks in owned queues").Register(registry);
+    for (const auto &[service, owned] : gateway.m_queues) {
+        waiting.Add({{"service", service}}).Set(static_cast<double>(owned->m_queue.m_tasks.size()));
+    }
+    return prometheus::TextSerializer().Serialize(registry.Collect());
+}
+
+std::string answerOperator(const Gateway &gateway, const HttpReader &reader)
+{
+    if (reader.m_target == Platform::ReadinessPath || reader.m_target == "/readyz") {
+        return formatAnswer(isReady(gateway) ? HTTP_STATUS_OK : HTTP_STATUS_SERVICE_UNAVAILABLE, {}, "", reader.m_keepAlive);
+    }
+    if (reader.m_target == "/metrics") {
+        return formatAnswer(HTTP_STATUS_OK, {{"Content-Type", "text/plain; version=0.0.4"}}, formatMetrics(gateway), reader.m_keepAlive);
+    }
+    return formatAnswer(HTTP_STATUS_NOT_FOUND, {}, "", reader.m_keepAlive);
+}
+
+void acceptOperator(Gateway &gateway, NetConnection *net)
+{
+    CallerLimits limits;
+    limits.m_headBytes = MaxOperatorRequestBytes;
+    limits.m_bodyBytes = MaxOperatorRequestBytes;
+    CallerConnection &connection = gateway.m_operators.emplace_back(limits);
+    connection.m_self = std::prev(gateway.m_operators.end());
+    connection.m_net = net;
+    net->m_onData = [&gateway, &connection](std::string_view data) {
+        while (!data.empty()) {
+            data.remove_prefix(connection.m_reader.feed(data));
+            if (connection.m_reader.m_state == ParseState::Done) {
+                connection.m_net->write(answerOperator(gateway, connection.m_reader));
+                connection.m_reader.reset();
+            } else if (connection.m_reader.m_state != ParseState::Head && connection.m_reader.m_state != ParseState::Body) {
+                connection.m_net->closeAfterWrites();
+                gateway.m_operators.erase(connection.m_self);
+                return;
+            }
+        }
+    };
+    net->m_onClose = [&gateway, &connection](CloseCause, const absl::Status &) { gateway.m_operators.erase(connection.m_self); };
+}
+
+//-----------------------------------------------------------------------------
+// Start and shutdown
+//-----------------------------------------------------------------------------
+
+absl::Status listenOn(Gateway &gateway, NetListener &listener, const std::string &address, void (*accept)(Gateway &, NetConnection *))
+{
+    const std::optional<SocketAddress> parsed = parseSocketAddress(address);
+    if (!parsed) {
+        return absl::InvalidArgumentError("not an address: " + address);
+    }
+    return listener.listen(gateway.m_loop, *parsed, ConnectionOptions(), [&gateway, accept](NetConnection *net) { accept(gateway, net); });
+}
+
+absl::Status listenAll(Gateway &gateway)
+{
+    absl::Status status = listenOn(gateway, gateway.m_readyListener, gateway.m_settings.m_readyAddress, acceptOperator);
+    if (status.ok()) {
+        status = listenOn(gateway, gateway.m_peerListener, gateway.m_settings.m_peerAddress, acceptPeer);
+    }
+    if (status.ok()) {
+        status = listenOn(gateway, gateway.m_frontListener, gateway.m_settings.m_frontAddress, acceptCaller);
+    }
+    return status;
+}
+
+bool isIdle(const Gateway &gateway)
+{
+    return gateway.m_exchanges.empty() && !hasQueuedWork(gateway);
+}
+
+void continueDrain(Gateway &gateway)
+{
+    const Duration elapsed = gatewayNow(gateway) - gateway.m_drainBegan;
+    if (elapsed >= ListenAfterTerm && (isIdle(gateway) || elapsed >= gateway.m_settings.m_drainTime - ExitMargin)) {
+        writeLog(LogLevel::Info, "main", "Shutdown ended.", {{"requests_left", fmt::format("{}", gateway.m_exchanges.size())}});
+        stopLoop(gateway.m_loop);
+    }
+}
+
+void beginDrain(Gateway &gateway, int signal)
+{
+    if (gateway.m_draining) {
+        return;
+    }
+    writeLog(LogLevel::Info, "main", "Shutdown began.", {{"signal", fmt::format("{}", signal)}});
+    gateway.m_draining = true;
+    gateway.m_drainBegan = gatewayNow(gateway);
+    leaveMembership(gateway);
+}
+
+void tick(Gateway &gateway)
+{
+    checkPeers(gateway);
+    closeIdleUpstreams(gateway);
+    if (gateway.m_draining) {
+        continueDrain(gateway);
+    }
+    gateway.m_tick.start(gateway.m_loop, TickInterval, [&gateway] { tick(gateway); });
+}
+
+/** Only the log level may change while the process runs; a bad file leaves everything as it was. */
+void reloadSettings(Gateway &gateway)
+{
+    std::ifstream file(gateway.m_settingsPath);
+    std::ostringstream content;
+    content << file.rdbuf();
+    Findings findings;
+    const std::optional<nlohmann::json> value = parseJson(content.str(), gateway.m_settingsPath, findings);
+    const GatewaySettings settings = value ? parseGatewaySettings(*value, gateway.m_settingsPath, findings) : GatewaySettings();
+    if (!findings.empty()) {
+        writeLog(LogLevel::Error, "main", "Settings left as they were.", {{"findings", toString(findings)}});
+        return;
+    }
+    setLogLevel(settings.m_logLevel);
+    writeLog(LogLevel::Info, "main", "Settings read again.");
+}
+
+void watchSignal(Gateway &gateway, uv_signal_t &handle, int number, uv_signal_cb callback)
+{
+    uv_signal_init(&gateway.m_loop.m_loop, &handle);
+    handle.data = &gateway;
+    uv_signal_start(&handle, callback, number);
+}
+
+void watchSignals(Gateway &gateway)
+{
+    std::signal(SIGPIPE, SIG_IGN);
+    const uv_signal_cb drain = [](uv_signal_t *handle, int number) { beginDrain(*static_cast<Gateway *>(handle->data), number); };
+    watchSignal(gateway, gateway.m_terminate, SIGTERM, drain);
+    watchSignal(gateway, gateway.m_interrupt, SIGINT, drain);
+    watchSignal(gateway, gateway.m_reload, SIGHUP, [](uv_signal_t *handle, int) { reloadSettings(*static_cast<Gateway *>(handle->data)); });
+}
+
+} // namespace
+
+absl::Status runGateway(const GatewaySettings &settings, const std::string &settingsPath, Clock &clock)
+{
+    // The process ends with its loop, so nothing is torn down one by one.
+    auto &gateway = *new Gateway;
+    gateway.m_settings = settings;
+    gateway.m_settingsPath = settingsPath;
+    gateway.m_clock = &clock;
+    gateway.m_random.m_state = entropySeed();
+    initLoop(gateway.m_loop, clock);
+    const std::optional<SocketAddress> store = parseSocketAddress(settings.m_storeAddress);
+    if (!store) {
+        return absl::InvalidArgumentError("not an address: " + settings.m_storeAddress);
+    }
+    gateway.m_store.m_address = *store;
+    gateway.m_membership.m_self = {
+        settings.m_node, settings.m_peerAddress, settings.m_failureDomain, settings.m_processorShare, nextRandom(gateway.m_random)};
+    replaceMembers(gateway.m_membership, {}, gatewayNow(gateway));
+    if (absl::Status status = listenAll(gateway); !status.ok()) {
+        return status;
+    }
+    watchSignals(gateway);
+    startStore(gateway);
+    tick(gateway);
+    writeLog(LogLevel::Info, "main", "Gateway started.", {{"node", settings.m_node}});
+    runLoop(gateway.m_loop);
+    return absl::OkStatus();
+}
+
+} // namespace Medlarramp
--- /dev/null
+++ b/src/gateway_stages.cpp
@@ -0,0 +1,528 @@
+#include <algorithm>
+
+#include <fmt/format.h>
+
+#include "gateway_internal.h"
+
+namespace Medlarramp {
+
+namespace {
+
+constexpr Duration ReleaseDelay = milliseconds(20); ///< results that are freed within it share one call
+constexpr size_t MaxReleases = 512; ///< handles of one call
+constexpr Duration CallSlack = milliseconds(1500); ///< a call this much over its expected time counts as lost
+constexpr int64_t CallSlackFactor = 4; ///< times the expected time, for replicas that are slow
+constexpr double QueueRepeatShare = 0.7; ///< of the common budget of a service: its queue has one owner
+
+void runQueue(Gateway &gateway, OwnedQueue &owned);
+
+//-----------------------------------------------------------------------------
+// Own requests
+//-----------------------------------------------------------------------------
+
+/** Latest start of a stage that keeps the objective, given the stages and the run that follow. */
+TimePoint dueTime(const Exchange &exchange, size_t stage)
+{
+    constexpr Duration RunTime = milliseconds(150); // from the last stage to the first event on a replica that is not full
+    return exchange.m_objectiveAt - RunTime - expectedChainTime(*exchange.m_configuration, *exchange.m_route, exchange.m_plan, stage);
+}
+
+StageTask makeTask(Gateway &gateway, const Exchange &exchange, size_t stage, uint64_t submission)
+{
+    const ServingStage &definition = exchange.m_route->m_stages[stage];
+    StageTask task;
+    task.m_submitter = gateway.m_settings.m_node;
+    task.m_submission = submission;
+    task.m_request = exchange.m_attemptId;
+    task.m_stage = static_cast<int>(stage);
+    task.m_inputs = inputsOf(*exchange.m_route, exchange.m_plan, stage);
+    if (definition.m_after.empty()) {
+        task.m_key = std::string(findHeader(exchange.m_request.m_headers, Platform::PieceKey).value_or(""));
+    }
+    task.m_rank = exchange.m_rank;
+    task.m_deadline = exchange.m_deadline;
+    task.m_due = dueTime(exchange, stage);
+    task.m_resultBytes = definition.m_resultBytes;
+    task.m_pieces.resize(static_cast<size_t>(exchange.m_plan.m_stages[stage].m_pieces));
+    for (size_t i = 0; i < task.m_pieces.size(); ++i) {
+        task.m_pieces[i] = static_cast<int>(i);
+    }
+    return task;
+}
+
+PeerMessage describeTask(const StageTask &task, const std::string &service, TimePoint now)
+{
+    PeerMessage message;
+    message.m_kind = PeerKind::Submit;
+    message.m_submission = task.m_submission;
+    message.m_service = service;
+    message.m_request = task.m_request;
+    message.m_stage = task.m_stage;
+    message.m_pieces = static_cast<int32_t>(task.m_pieces.size());
+    message.m_key = task.m_key;
+    message.m_handles = task.m_inputs;
+    message.m_rank = task.m_rank;
+    message.m_leftUs = (task.m_deadline - now).count();
+    message.m_dueUs = (task.m_due - now).count();
+    message.m_resultBytes = task.m_resultBytes;
+    message.m_failureDomain = task.m_failureDomain;
+    return message;
+}
+
+void submitStage(Gateway &gateway, Exchange &exchange, size_t stage)
+{
+    const uint64_t number = gateway.m_nextNumber++;
+    const std::string &service = exchange.m_route->m_stages[stage].m_service;
+    StageTask task = makeTask(gateway, exchange, stage, number);
+    exchange.m_plan.m_stages[stage].m_state = StageState::Submitted;
+    exchange.m_submissions[stage] = number;
+    const TimePoint now = gatewayNow(gateway);
+    std::string owner = ownerOf(gateway.m_membership, service, now);
+    if (owner != gateway.m_settings.m_node && !sendToPeer(gateway, owner, describeTask(task, service, now))) {
+        owner = gateway.m_settings.m_node;
+    }
+    gateway.m_submissions[number] = {exchange.m_number, stage, service, owner};
+    if (owner == gateway.m_settings.m_node) {
+        enqueueTask(gateway, service, std::move(task));
+    }
+}
+
+void submitOrDelay(Gateway &gateway, Exchange &exchange, size_t stage)
+{
+    const Duration delay = stageDelay(*exchange.m_configuration, *exchange.m_route, exchange.m_plan, stage);
+    if (delay <= Duration(0)) {
+        submitStage(gateway, exchange, stage);
+        return;
+    }
+    exchange.m_plan.m_stages[stage].m_state = StageState::Submitted;
+    const uint64_t number = exchange.m_number;
+    exchange.m_delays[stage].start(gateway.m_loop, delay, [&gateway, number, stage] {
+        if (Exchange *delayed = findExchange(gateway, number)) {
+            submitStage(gateway, *delayed, stage);
+        }
+    });
+}
+
+void releaseFrom(Gateway &gateway, Exchange &exchange, size_t stage)
+{
+    PlannedStage &planned = exchange.m_plan.m_stages[stage];
+    planned.m_freed = true;
+    std::map<std::string, std::vector<std::string>> byOwner;
+    for (const std::string &handle : planned.m_handles) {
+        byOwner[exchange.m_resultOwners[handle]].push_back(handle);
+    }
+    const std::string &service = exchange.m_route->m_stages[stage].m_service;
+    for (auto &[owner, handles] : byOwner) {
+        PeerMessage message;
+        message.m_kind = PeerKind::Release;
+        message.m_service = service;
+        message.m_handles = handles;
+        if (owner == gateway.m_settings.m_node || !sendToPeer(gateway, owner, message)) {
+            releaseHandles(gateway, service, handles);
+        }
+    }
+}
+
+//-----------------------------------------------------------------------------
+// Owned queues
+//-----------------------------------------------------------------------------
+
+OwnedQueue &queueOf(Gateway &gateway, const std::string &service)
+{
+    std::unique_ptr<OwnedQueue> &owned = gateway.m_queues[service];
+    if (!owned) {
+        owned = std::make_unique<OwnedQueue>();
+        owned->m_queue.m_service = service;
+        owned->m_queue.m_repeatAllowance = static_cast<size_t>(gateway.m_settings.m_repeatExtra * QueueRepeatShare);
+        owned->m_queue.m_repeatWindow = gateway.m_settings.m_repeatWindow;
+        syncQueues(gateway);
+    }
+    return *owned;
+}
+
+void reportOutcome(Gateway &gateway, const std::string &service, StageOutcome outcome)
+{
+    StageTask &task = outcome.m_task;
+    if (outcome.m_reason != Reason::None) {
+        std::erase(task.m_handles, "");
+        releaseHandles(gateway, service, task.m_handles);
+        task.m_handles.clear();
+    }
+    if (task.m_submitter == gateway.m_settings.m_node) {
+        handleStageResult(gateway, task.m_submission, outcome.m_reason, std::move(task.m_handles));
+        return;
+    }
+    PeerMessage message;
+    message.m_kind = PeerKind::Result;
+    message.m_submission = task.m_submission;
+    message.m_service = service;
+    message.m_reason = static_cast<uint8_t>(outcome.m_reason);
+    message.m_handles = std::move(task.m_handles);
+    if (!sendToPeer(gateway, task.m_submitter, message)) {
+        releaseHandles(gateway, service, message.m_handles);
+    }
+}
+
+void reportOutcomes(Gateway &gateway, const std::string &service, std::vector<StageOutcome> outcomes)
+{
+    for (StageOutcome &outcome : outcomes) {
+        reportOutcome(gateway, service, std::move(outcome));
+    }
+}
+
+std::string formatStageCall(Gateway &gateway, const StageQueue &queue, const StageCall &call, const StageWorker &worker)
+{
+    const TimePoint now = gatewayNow(gateway);
+    std::vector<Platform::PieceOrder> orders;
+    for (const StageCall::Item &item : call.m_items) {
+        const StageTask &task = queue.m_tasks.at(item.m_ticket);
+        orders.push_back(
+            {task.m_request, task.m_stage, item.m_piece, std::max(Duration(0), task.m_deadline - now), task.m_key, &task.m_inputs});
+    }
+    const HttpHeaders headers = {
+        {"Host", worker.m_address}, {"Content-Type", "application/json"}, {std::string(Platform::ExpectedReplica), worker.m_id}};
+    return formatRequest("POST", std::string(Platform::StageRunTarget), headers, Platform::encodeStageRun(orders));
+}
+
+void failCall(Gateway &gateway, OwnedQueue &owned, const StageCall &call, PieceFailure failure)
+{
+    std::vector<StageOutcome> outcomes;
+    const TimePoint now = gatewayNow(gateway);
+    for (size_t i = 0; i < call.m_items.size(); ++i) {
+        if (std::optional<StageOutcome> outcome = failPiece(owned.m_queue, call, i, failure, now)) {
+            outcomes.push_back(std::move(*outcome));
+        }
+    }
+    writeLog(LogLevel::Info,
+             "stage",
+             "Stage call failed.",
+             {{"service", owned.m_queue.m_service},
+              {"replica", call.m_replica},
+              {"pieces", fmt::format("{}", call.m_items.size())},
+              {"failure", fmt::format("{}", static_cast<int>(failure))}});
+    endCall(owned.m_queue, call.m_call, true, now);
+    reportOutcomes(gateway, owned.m_queue.m_service, std::move(outcomes));
+}
+
+void handleStageAnswer(Gateway &gateway, OwnedQueue &owned, const StageCall &call, HttpReader &reader)
+{
+    const bool notRun = reader.m_status == HTTP_STATUS_SERVICE_UNAVAILABLE || reader.m_status == HTTP_STATUS_MISDIRECTED_REQUEST;
+    if (reader.m_status != HTTP_STATUS_OK) {
+        failCall(gateway, owned, call, notRun ? PieceFailure::Rejected : PieceFailure::Error);
+        return;
+    }
+    absl::StatusOr<std::vector<Platform::PieceResult>> results = Platform::decodeStageRun(reader.m_body);
+    if (!results.ok() || results->size() != call.m_items.size()) {
+        failCall(gateway, owned, call, PieceFailure::Error);
+        return;
+    }
+    const TimePoint now = gatewayNow(gateway);
+    std::vector<StageOutcome> outcomes;
+    std::vector<std::string> unwanted;
+    for (size_t i = 0; i < results->size(); ++i) {
+        Platform::PieceResult &result = (*results)[i];
+        const bool wanted = owned.m_queue.m_tasks.contains(call.m_items[i].m_ticket);
+        if (!result.m_handle.empty() && !wanted) {
+            unwanted.push_back(result.m_handle);
+        }
+        std::optional<StageOutcome> outcome = result.m_handle.empty()
+            ? failPiece(owned.m_queue, call, i, result.m_failure, now)
+            : completePiece(owned.m_queue, call, i, std::move(result.m_handle), now);
+        if (outcome) {
+            outcomes.push_back(std::move(*outcome));
+        }
+    }
+    endCall(owned.m_queue, call.m_call, false, now);
+    releaseHandles(gateway, owned.m_queue.m_service, unwanted);
+    reportOutcomes(gateway, owned.m_queue.m_service, std::move(outcomes));
+}
+
+Duration callTimeout(const StageQueue &queue, const StageCall &call)
+{
+    const Duration expected = queue.m_limits.m_callTime + queue.m_limits.m_pieceTime * static_cast<int64_t>(call.m_items.size());
+    return expected * CallSlackFactor + CallSlack;
+}
+
+/** Sends @p call without the pieces of tasks that have ended since it was planned. */
+void sendStageCall(Gateway &gateway, OwnedQueue &owned, StageCall call)
+{
+    std::erase_if(call.m_items, [&owned](const StageCall::Item &item) { return !owned.m_queue.m_tasks.contains(item.m_ticket); });
+    if (call.m_items.empty()) {
+        endCall(owned.m_queue, call.m_call, false, call.m_sentAt);
+        return;
+    }
+    const StageWorker &worker = owned.m_queue.m_workers.at(call.m_replica);
+    if (!gateway.m_upstreams.contains(call.m_replica)) {
+        failCall(gateway, owned, call, PieceFailure::Rejected);
+        return;
+    }
+    UpstreamCall upstream;
+    upstream.m_text = formatStageCall(gateway, owned.m_queue, call, worker);
+    auto timer = std::make_shared<NetTimer>();
+    upstream.m_onEnd = [&gateway, &owned, call, timer](UpstreamCall &ended, CallEnd end) {
+        timer->stop();
+        if (end == CallEnd::Done) {
+            handleStageAnswer(gateway, owned, call, answerOf(ended));
+        } else {
+            failCall(gateway, owned, call, end == CallEnd::NotConnected ? PieceFailure::Rejected : PieceFailure::Lost);
+        }
+        runQueue(gateway, owned);
+    };
+    // Answers of stage calls name no request, so a late answer to an earlier call must not share the connection.
+    const uint64_t number = startCall(gateway, call.m_replica, std::move(upstream), ConnectionUse::Fresh)->m_number;
+    timer->start(gateway.m_loop, callTimeout(owned.m_queue, call), [&gateway, &owned, call, number] {
+        cancelCall(gateway, number);
+        failCall(gateway, owned, call, PieceFailure::Lost);
+        runQueue(gateway, owned);
+    });
+}
+
+void runQueue(Gateway &gateway, OwnedQueue &owned)
+{
+    const TimePoint now = gatewayNow(gateway);
+    reportOutcomes(gateway, owned.m_queue.m_service, expireTasks(owned.m_queue, now));
+    for (StageCall &call : planCalls(owned.m_queue, now)) {
+        sendStageCall(gateway, owned, std::move(call));
+    }
+    const std::optional<TimePoint> next = nextQueueEvent(owned.m_queue, now);
+    if (!next) {
+        owned.m_timer.stop();
+        return;
+    }
+    owned.m_timer.start(gateway.m_loop, *next - now, [&gateway, &owned] { runQueue(gateway, owned); });
+}
+
+void sendReleases(Gateway &gateway, OwnedQueue &owned)
+{
+    const auto releases = std::exchange(owned.m_releases, {});
+    for (const auto &[replica, handles] : releases) {
+        const auto upstream = gateway.m_upstreams.find(replica);
+        if (upstream == gateway.m_upstreams.end() || !upstream->second.m_registered) {
+            continue;
+        }
+        const HttpHeaders headers = {{"Host", upstream->second.m_record.m_address},
+                                     {"Content-Type", "application/json"},
+                                     {std::string(Platform::ExpectedReplica), replica}};
+        for (size_t start = 0; start < handles.size(); start += MaxReleases) {
+            const std::vector<std::string> part(handles.begin() + static_cast<std::ptrdiff_t>(start),
+                                                handles.begin()
+                                                    + static_cast<std::ptrdiff_t>(std::min(handles.size(), start + MaxReleases)));
+            UpstreamCall call;
+            call.m_text = formatRequest("POST", std::string(Platform::StageFreeTarget), headers, Platform::encodeStageFree(part));
+            call.m_onEnd = [](UpstreamCall &, CallEnd) {}; // a lost release costs room until the result's lifetime ends
+            startCall(gateway, replica, std::move(call), ConnectionUse::Kept);
+        }
+    }
+    runQueue(gateway, owned);
+}
+
+/** The replica that made a result, by its address, for results that no queue here knows. */
+std::string makerOf(Gateway &gateway, const std::string &service, const std::string &handle)
+{
+    const std::optional<SocketAddress> address = Platform::resultAddress(handle);
+    for (const std::string &id : gateway.m_replicasByService[service]) {
+        if (address && gateway.m_upstreams.at(id).m_address == *address) {
+            return id;
+        }
+    }
+    return {};
+}
+
+} // namespace
+
+void startStages(Gateway &gateway, Exchange &exchange)
+{
+    if (isPlanDone(exchange.m_plan)) {
+        startAttempt(gateway, exchange);
+        return;
+    }
+    const uint64_t number = exchange.m_number;
+    for (const size_t stage : readyStages(*exchange.m_route, exchange.m_plan)) {
+        submitOrDelay(gateway, exchange, stage);
+        if (findExchange(gateway, number) == nullptr) {
+            return;
+        }
+    }
+}
+
+void cancelStages(Gateway &gateway, Exchange &exchange)
+{
+    exchange.m_delays.clear();
+    for (const auto &[stage, number] : exchange.m_submissions) {
+        const auto submission = gateway.m_submissions.find(number);
+        if (submission == gateway.m_submissions.end()) {
+            continue;
+        }
+        const Submission open = submission->second;
+        gateway.m_submissions.erase(submission);
+        if (open.m_owner == gateway.m_settings.m_node) {
+            cancelEnqueued(gateway, open.m_service, open.m_owner, number);
+            continue;
+        }
+        PeerMessage message;
+        message.m_kind = PeerKind::Cancel;
+        message.m_service = open.m_service;
+        message.m_submission = number;
+        sendToPeer(gateway, open.m_owner, message);
+    }
+    exchange.m_submissions.clear();
+    releaseStages(gateway, exchange, true);
+}
+
+void releaseStages(Gateway &gateway, Exchange &exchange, bool everything)
+{
+    if (exchange.m_route == nullptr) {
+        return;
+    }
+    if (!everything) {
+        for (const size_t stage : spentStages(*exchange.m_route, exchange.m_plan)) {
+            releaseFrom(gateway, exchange, stage);
+        }
+        return;
+    }
+    for (size_t stage = 0; stage < exchange.m_plan.m_stages.size(); ++stage) {
+        const PlannedStage &planned = exchange.m_plan.m_stages[stage];
+        if (!planned.m_freed && !planned.m_handles.empty()) {
+            releaseFrom(gateway, exchange, stage);
+        }
+    }
+}
+
+void handleStageResult(Gateway &gateway, uint64_t submission, Reason reason, std::vector<std::string> handles)
+{
+    const auto entry = gateway.m_submissions.find(submission);
+    if (entry == gateway.m_submissions.end()) {
+        return; // cancelled meanwhile; the owner learns that from the cancellation
+    }
+    const Submission open = entry->second;
+    gateway.m_submissions.erase(entry);
+    Exchange *exchange = findExchange(gateway, open.m_exchange);
+    if (exchange == nullptr) {
+        return;
+    }
+    exchange->m_submissions.erase(open.m_stage);
+    PlannedStage &planned = exchange->m_plan.m_stages[open.m_stage];
+    if (reason != Reason::None || handles.size() != static_cast<size_t>(planned.m_pieces)) {
+        refuseExchange(gateway, *exchange, reason == Reason::None ? Reason::InvalidAnswer : reason);
+        return;
+    }
+    for (const std::string &handle : handles) {
+        exchange->m_resultOwners[handle] = open.m_owner;
+    }
+    planned.m_handles = std::move(handles);
+    planned.m_state = StageState::Done;
+    releaseStages(gateway, *exchange, false);
+    startStages(gateway, *exchange);
+}
+
+void enqueueTask(Gateway &gateway, const std::string &service, StageTask task)
+{
+    OwnedQueue &owned = queueOf(gateway, service);
+    StageTask refused = task;
+    if (!addTask(owned.m_queue, std::move(task))) {
+        refused.m_handles.clear();
+        reportOutcome(gateway, service, {std::move(refused), Reason::QueueFull});
+        return;
+    }
+    // Tasks that arrive in the same turn of the loop share a call.
+    owned.m_timer.start(gateway.m_loop, milliseconds(1), [&gateway, &owned] { runQueue(gateway, owned); });
+}
+
+void cancelEnqueued(Gateway &gateway, const std::string &service, const std::string &submitter, uint64_t submission)
+{
+    const auto owned = gateway.m_queues.find(service);
+    if (owned != gateway.m_queues.end()) {
+        releaseHandles(gateway, service, cancelTask(owned->second->m_queue, submitter, submission));
+    }
+}
+
+void cancelSubmitter(Gateway &gateway, const std::string &submitter)
+{
+    for (auto &[service, owned] : gateway.m_queues) {
+        std::vector<uint64_t> submissions;
+        for (const auto &[ticket, task] : owned->m_queue.m_tasks) {
+            if (task.m_submitter == submitter) {
+                submissions.push_back(task.m_submission);
+            }
+        }
+        for (const uint64_t submission : submissions) {
+            cancelEnqueued(gateway, service, submitter, submission);
+        }
+    }
+}
+
+void releaseHandles(Gateway &gateway, const std::string &service, const std::vector<std::string> &handles)
+{
+    if (handles.empty()) {
+        return;
+    }
+    OwnedQueue &owned = queueOf(gateway, service);
+    for (const std::string &handle : handles) {
+        std::string replica = releaseResult(owned.m_queue, handle);
+        if (replica.empty()) {
+            replica = makerOf(gateway, service, handle);
+        }
+        if (!replica.empty()) {
+            owned.m_releases[replica].push_back(handle);
+        }
+    }
+    if (!owned.m_releaseTimer.isActive()) {
+        owned.m_releaseTimer.start(gateway.m_loop, ReleaseDelay, [&gateway, &owned] { sendReleases(gateway, owned); });
+    }
+}
+
+void resubmitFrom(Gateway &gateway, const std::string &owner)
+{
+    std::vector<Submission> lost;
+    std::erase_if(gateway.m_submissions, [&](const auto &entry) {
+        const bool isLost = entry.second.m_owner == owner;
+        if (isLost) {
+            lost.push_back(entry.second);
+        }
+        return isLost;
+    });
+    for (const Submission &submission : lost) {
+        if (Exchange *exchange = findExchange(gateway, submission.m_exchange)) {
+            countReason(gateway.m_retries, Reason::PeerUnreachable);
+            submitStage(gateway, *exchange, submission.m_stage);
+        }
+    }
+}
+
+void syncQueues(Gateway &gateway)
+{
+    for (auto &[service, owned] : gateway.m_queues) {
+        StageQueue &queue = owned->m_queue;
+        const ServingService *definition = gateway.m_configuration ? findService(*gateway.m_configuration, service) : nullptr;
+        if (definition != nullptr && definition->m_pieces) {
+            queue.m_limits = *definition->m_pieces;
+        }
+        for (auto &[id, worker] : queue.m_workers) {
+            worker.m_usable = false;
+        }
+        for (const std::string &id : gateway.m_replicasByService[service]) {
+            const ReplicaRecord &record = gateway.m_upstreams.at(id).m_record;
+            StageWorker &worker = queue.m_workers[id];
+            if (worker.m_address != record.m_address) {
+                worker = StageWorker();
+            }
+            worker.m_id = id;
+            worker.m_address = record.m_address;
+            worker.m_failureDomain = record.m_failureDomain;
+            worker.m_usable = true;
+        }
+        std::erase_if(queue.m_workers, [](const auto &entry) { return !entry.second.m_usable && entry.second.m_calls == 0; });
+        if (!queue.m_waiting.empty()) {
+            OwnedQueue &waiting = *owned;
+            waiting.m_timer.start(gateway.m_loop, milliseconds(1), [&gateway, &waiting] { runQueue(gateway, waiting); });
+        }
+    }
+}
+
+bool hasQueuedWork(const Gateway &gateway)
+{
+    return std::any_of(
+        gateway.m_queues.begin(), gateway.m_queues.end(), [](const auto &entry) { return !entry.second->m_queue.m_tasks.empty(); });
+}
+
+} // namespace Medlarramp
--- /dev/null
+++ b/src/gateway_store.cpp
@@ -0,0 +1,454 @@
+#include <algorithm>
+
+#include <fmt/format.h>
+
+#include "gateway_internal.h"
+
+namespace Medlarramp {
+
+/** One call to the store on a connection of its own; connections are kept between calls of one kind. */
+struct StoreCall {
+    NetConnection *m_net = nullptr;
+    HttpReader m_reader{HTTP_RESPONSE, MaxHeadBytes, MaxBodyBytes};
+    std::function<void(int, std::string)> m_onEnd; ///< status, 0 when there was no answer
+    NetTimer m_timeout;
+    bool m_busy = false;
+
+    static constexpr size_t MaxHeadBytes = 16 * 1024;
+    static constexpr size_t MaxBodyBytes = 64 * 1024 * 1024; ///< a full history of large values
+};
+
+namespace {
+
+constexpr Duration CallTimeout = milliseconds(2000); ///< the store answers in milliseconds
+constexpr Duration WatchWait = seconds(15); ///< each call is priced; silence is found by keep-alive probes before
+constexpr Duration WatchSlack = seconds(3);
+constexpr Duration WatchPause = milliseconds(200); ///< changes that come together share one call
+constexpr Duration StoreSilence = milliseconds(3000); ///< keep-alive probes count whole seconds
+constexpr Duration RetryBase = milliseconds(150); ///< doubles with each failure in a row
+constexpr Duration RetryMax = milliseconds(1200); ///< an outage's end is noticed within it
+constexpr int MaxRetryDoublings = 3;
+constexpr Duration LeaseTime = seconds(4); ///< a member that dies is listed for so long at most
+constexpr Duration LeaseRenewal = milliseconds(1300); ///< two renewals may be lost
+
+void readPage(Gateway &gateway, std::string after);
+void watch(Gateway &gateway);
+void renewLease(Gateway &gateway);
+
+//-----------------------------------------------------------------------------
+// Calls
+//-----------------------------------------------------------------------------
+
+void finishStoreCall(StoreCall &call, int status, std::string body, bool keep)
+{
+    call.m_timeout.stop();
+    call.m_busy = false;
+    if (!keep && call.m_net != nullptr) {
+        call.m_net->close();
+        call.m_net = nullptr;
+    }
+    call.m_reader.reset();
+    const auto callback = std::exchange(call.m_onEnd, nullptr);
+    if (callback) {
+        callback(status, std::move(body));
+    }
+}
+
+void connectStore(Gateway &gateway, StoreCall &call)
+{
+    ConnectionOptions options;
+    options.m_silenceTimeout = StoreSilence;
+    call.m_reader.reset();
+    call.m_net = NetConnection::connect(gateway.m_loop, gateway.m_store.m_address, options);
+    call.m_net->m_onData = [&call](std::string_view data) {
+        const size_t used = call.m_reader.feed(data);
+        if (!call.m_busy || (call.m_reader.m_state != ParseState::Done && used < data.size())) {
+            finishStoreCall(call, 0, "", false);
+            return;
+        }
+        if (call.m_reader.m_state == ParseState::Done) {
+            std::string body = std::move(call.m_reader.m_body);
+            finishStoreCall(call, call.m_reader.m_status, std::move(body), call.m_reader.m_keepAlive);
+        }
+    };
+    call.m_net->m_onClose = [&call](CloseCause, const absl::Status &) {
+        call.m_net = nullptr;
+        if (call.m_busy) {
+            finishStoreCall(call, 0, "", false);
+        }
+    };
+}
+
+void callStore(Gateway &gateway,
+               StoreCall &call,
+               const std::string &method,
+               const std::string &target,
+               std::string_view body,
+               Duration timeout,
+               std::function<void(int, std::string)> onEnd)
+{
+    if (call.m_net == nullptr) {
+        connectStore(gateway, call);
+    }
+    call.m_busy = true;
+    call.m_onEnd = std::move(onEnd);
+    HttpHeaders headers = {{"Host", toString(gateway.m_store.m_address)}};
+    if (!body.empty()) {
+        headers.push_back({"Content-Type", "application/json"});
+    }
+    call.m_net->write(formatRequest(method, target, headers, body));
+    call.m_timeout.start(gateway.m_loop, timeout, [&call] { finishStoreCall(call, 0, "", false); });
+}
+
+Duration retryDelay(Gateway &gateway)
+{
+    const int doublings = std::min(gateway.m_store.m_failures, MaxRetryDoublings);
+    const Duration delay = std::min(RetryMax, RetryBase * (int64_t{1} << doublings));
+    // Gateways that lost the store together come back spread out.
+    return delay / 2 + Duration(static_cast<int64_t>(uniformReal(gateway.m_random) * static_cast<double>(delay.count()) / 2));
+}
+
+void noteAvailable(Gateway &gateway)
+{
+    StoreClient &store = gateway.m_store;
+    if (!store.m_available) {
+        gateway.m_registry.m_storeBackAt = gatewayNow(gateway);
+        writeLog(LogLevel::Info, "store", "The store answers.", {{"failures", fmt::format("{}", store.m_failures)}});
+    }
+    store.m_available = true;
+    store.m_failures = 0;
+}
+
+void noteFailure(Gateway &gateway, std::string_view call, int status)
+{
+    StoreClient &store = gateway.m_store;
+    if (store.m_available || store.m_failures == 0) {
+        writeLog(LogLevel::Warning, "store", "Call failed.", {{"call", std::string(call)}, {"status", fmt::format("{}", status)}});
+    }
+    store.m_available = false;
+    store.m_failures += 1;
+}
+
+//-----------------------------------------------------------------------------
+// What the store says
+//-----------------------------------------------------------------------------
+
+void applyConfiguration(Gateway &gateway, const Platform::StoreItem &item)
+{
+    absl::StatusOr<ServingConfiguration> decoded = Platform::decodeConfiguration(item.m_value);
+    if (!decoded.ok()) {
+        writeLog(LogLevel::Error, "config", "Configuration left out.", {{"error", std::string(decoded.status().message())}});
+        return;
+    }
+    if (!isNewer(gateway.m_configuration.get(), *decoded)) {
+        return;
+    }
+    gateway.m_configuration = std::make_shared<const ServingConfiguration>(std::move(*decoded));
+    writeLog(LogLevel::Info, "config", "Configuration in force.", {{"version", fmt::format("{}", gateway.m_configuration->m_version)}});
+}
+
+std::string idOf(const std::string &key, std::string_view prefix)
+{
+    return key.substr(prefix.size());
+}
+
+bool startsWith(const std::string &text, std::string_view prefix)
+{
+    return text.compare(0, prefix.size(), prefix) == 0;
+}
+
+void applyMember(Gateway &gateway, const Platform::StoreItem &item)
+{
+    if (item.m_removed) {
+        gateway.m_store.m_members.erase(item.m_key);
+        return;
+    }
+    absl::StatusOr<Member> member = Platform::decodeMember(item.m_value);
+    if (member.ok()) {
+        gateway.m_store.m_members[item.m_key] = std::move(*member);
+    }
+}
+
+void applyMembers(Gateway &gateway)
+{
+    std::vector<Member> members;
+    for (const auto &[key, member] : gateway.m_store.m_members) {
+        members.push_back(member);
+    }
+    replaceMembers(gateway.m_membership, std::move(members), gatewayNow(gateway));
+}
+
+std::optional<ReplicaRecord> readRecord(const Platform::StoreItem &item)
+{
+    absl::StatusOr<ReplicaRecord> record = Platform::decodeRegistration(idOf(item.m_key, Platform::RegistrationPrefix), item.m_value);
+    if (!record.ok()) {
+        writeLog(LogLevel::Warning,
+                 "registry",
+                 "Registration left out.",
+                 {{"key", item.m_key}, {"error", std::string(record.status().message())}});
+        return std::nullopt;
+    }
+    return std::move(*record);
+}
+
+void expireLapsed(Gateway &gateway)
+{
+    const TimePoint now = gatewayNow(gateway);
+    const std::optional<TimePoint> next = expireReplicas(gateway.m_registry, now);
+    syncUpstreams(gateway);
+    if (next) {
+        gateway.m_store.m_expiryTimer.start(gateway.m_loop, *next - now, [&gateway] { expireLapsed(gateway); });
+    }
+}
+
+void applyEvents(Gateway &gateway, const Platform::StoreItems &events)
+{
+    const TimePoint now = gatewayNow(gateway);
+    bool replicasChanged = false;
+    bool membersChanged = false;
+    for (const Platform::StoreItem &item : events.m_items) {
+        if (item.m_key == Platform::ConfigurationKey && !item.m_removed) {
+            applyConfiguration(gateway, item);
+            replicasChanged = true;
+        } else if (startsWith(item.m_key, Platform::MemberPrefix)) {
+            applyMember(gateway, item);
+            membersChanged = true;
+        } else if (startsWith(item.m_key, Platform::RegistrationPrefix)) {
+            replicasChanged = true;
+            const std::string id = idOf(item.m_key, Platform::RegistrationPrefix);
+            std::optional<ReplicaRecord> record = item.m_removed ? std::nullopt : readRecord(item);
+            if (record) {
+                putReplica(gateway.m_registry, std::move(*record));
+            } else if (item.m_removed) {
+                removeReplica(gateway.m_registry, id, now);
+            } else {
+                gateway.m_registry.m_replicas.erase(id);
+            }
+        }
+    }
+    if (membersChanged) {
+        applyMembers(gateway);
+    }
+    if (replicasChanged) {
+        expireLapsed(gateway);
+    }
+}
+
+/** A full listing replaces what was known. */
+void applyListing(Gateway &gateway)
+{
+    StoreClient &store = gateway.m_store;
+    std::vector<ReplicaRecord> records;
+    store.m_members.clear();
+    for (const Platform::StoreItem &item : store.m_page) {
+        if (item.m_key == Platform::ConfigurationKey) {
+            applyConfiguration(gateway, item);
+        } else if (startsWith(item.m_key, Platform::MemberPrefix)) {
+            applyMember(gateway, item);
+        } else if (startsWith(item.m_key, Platform::RegistrationPrefix)) {
+            if (std::optional<ReplicaRecord> record = readRecord(item)) {
+                records.push_back(std::move(*record));
+            }
+        }
+    }
+    store.m_page.clear();
+    replaceReplicas(gateway.m_registry, std::move(records), gatewayNow(gateway));
+    applyMembers(gateway);
+    expireLapsed(gateway);
+    store.m_listed = true;
+    store.m_revision = store.m_listRevision;
+    watch(gateway);
+}
+
+//-----------------------------------------------------------------------------
+// Listing and watching
+//-----------------------------------------------------------------------------
+
+void startListing(Gateway &gateway)
+{
+    gateway.m_store.m_page.clear();
+    gateway.m_store.m_listRevision = 0;
+    readPage(gateway, "");
+}
+
+void retryListing(Gateway &gateway, int status)
+{
+    noteFailure(gateway, "list", status);
+    gateway.m_store.m_watchTimer.start(gateway.m_loop, retryDelay(gateway), [&gateway] { startListing(gateway); });
+}
+
+void readPage(Gateway &gateway, std::string after)
+{
+    const std::string target = Platform::formatRangeTarget("", after);
+    callStore(gateway, *gateway.m_store.m_watchCall, "GET", target, "", CallTimeout, [&gateway](int status, const std::string &body) {
+        StoreClient &store = gateway.m_store;
+        absl::StatusOr<Platform::StoreItems> page =
+            status == HTTP_STATUS_OK ? Platform::decodeItems(body) : absl::UnavailableError("no answer");
+        if (!page.ok()) {
+            retryListing(gateway, status);
+            return;
+        }
+        noteAvailable(gateway);
+        // Pages are no snapshot: the watch starts where the first page was read.
+        store.m_listRevision = store.m_listRevision == 0 ? page->m_asOf : store.m_listRevision;
+        const std::string last = page->m_items.empty() ? "" : page->m_items.back().m_key;
+        const bool more = page->m_more && !last.empty();
+        std::move(page->m_items.begin(), page->m_items.end(), std::back_inserter(store.m_page));
+        if (more) {
+            readPage(gateway, last);
+        } else {
+            applyListing(gateway);
+        }
+    });
+}
+
+void handleWatch(Gateway &gateway, int status, const std::string &body)
+{
+    StoreClient &store = gateway.m_store;
+    absl::StatusOr<Platform::StoreItems> events =
+        status == HTTP_STATUS_OK ? Platform::decodeItems(body) : absl::UnavailableError("no answer");
+    if (events.ok()) {
+        noteAvailable(gateway);
+        store.m_revision = std::max(store.m_revision, events->m_asOf);
+        applyEvents(gateway, *events);
+        store.m_watchTimer.start(gateway.m_loop, WatchPause, [&gateway] { watch(gateway); });
+        return;
+    }
+    if (status == HTTP_STATUS_GONE) {
+        writeLog(LogLevel::Info, "store", "History is gone; listing anew.");
+        startListing(gateway);
+        return;
+    }
+    noteFailure(gateway, "watch", status);
+    store.m_watchTimer.start(gateway.m_loop, retryDelay(gateway), [&gateway] { watch(gateway); });
+}
+
+void watch(Gateway &gateway)
+{
+    const std::string target = Platform::formatWatchTarget("", gateway.m_store.m_revision, WatchWait);
+    callStore(
+        gateway, *gateway.m_store.m_watchCall, "GET", target, "", WatchWait + WatchSlack, [&gateway](int status, const std::string &body) {
+            handleWatch(gateway, status, body);
+        });
+}
+
+//-----------------------------------------------------------------------------
+// Membership
+//-----------------------------------------------------------------------------
+
+void scheduleLease(Gateway &gateway, Duration delay)
+{
+    gateway.m_store.m_leaseTimer.start(gateway.m_loop, delay, [&gateway] { renewLease(gateway); });
+}
+
+void loseLease(Gateway &gateway, int status)
+{
+    gateway.m_store.m_lease = 0;
+    gateway.m_store.m_announced = false;
+    noteFailure(gateway, "lease", status);
+    scheduleLease(gateway, retryDelay(gateway));
+}
+
+void announce(Gateway &gateway)
+{
+    StoreClient &store = gateway.m_store;
+    const std::string key = std::string(Platform::MemberPrefix) + gateway.m_settings.m_node;
+    const std::string body = Platform::formatPutBody(key, Platform::encodeMember(gateway.m_membership.m_self), store.m_lease);
+    callStore(gateway,
+              *store.m_leaseCall,
+              "POST",
+              std::string(Platform::TransactionTarget),
+              body,
+              CallTimeout,
+              [&gateway](int status, const std::string &) {
+                  if (status != HTTP_STATUS_OK) {
+                      loseLease(gateway, status);
+                      return;
+                  }
+                  gateway.m_store.m_announced = true;
+                  scheduleLease(gateway, LeaseRenewal);
+              });
+}
+
+void takeLease(Gateway &gateway)
+{
+    StoreClient &store = gateway.m_store;
+    const std::string body = Platform::formatLeaseBody(std::max(LeaseTime, Duration(milliseconds(gateway.m_settings.m_minLeaseMs))));
+    callStore(gateway,
+              *store.m_leaseCall,
+              "POST",
+              std::string(Platform::LeaseTarget),
+              body,
+              CallTimeout,
+              [&gateway](int status, const std::string &answer) {
+                  const absl::StatusOr<int64_t> lease =
+                      status == HTTP_STATUS_OK ? Platform::decodeLease(answer) : absl::UnavailableError("no answer");
+                  if (!lease.ok()) {
+                      loseLease(gateway, status);
+                      return;
+                  }
+                  gateway.m_store.m_lease = *lease;
+                  announce(gateway);
+              });
+}
+
+void renewLease(Gateway &gateway)
+{
+    StoreClient &store = gateway.m_store;
+    if (gateway.m_draining) {
+        return;
+    }
+    if (store.m_lease == 0) {
+        takeLease(gateway);
+        return;
+    }
+    callStore(gateway,
+              *store.m_leaseCall,
+              "POST",
+              Platform::formatKeepTarget(store.m_lease),
+              "",
+              CallTimeout,
+              [&gateway](int status, const std::string &) {
+                  if (status == HTTP_STATUS_OK) {
+                      scheduleLease(gateway, LeaseRenewal);
+                      return;
+                  }
+                  if (status == HTTP_STATUS_NOT_FOUND) {
+                      gateway.m_store.m_lease = 0;
+                      takeLease(gateway);
+                      return;
+                  }
+                  // The lease may hold on: it is renewed again, not replaced.
+                  scheduleLease(gateway, retryDelay(gateway));
+              });
+}
+
+} // namespace
+
+void startStore(Gateway &gateway)
+{
+    StoreClient &store = gateway.m_store;
+    // Both live as long as the process.
+    store.m_watchCall = new StoreCall;
+    store.m_leaseCall = new StoreCall;
+    startListing(gateway);
+    renewLease(gateway);
+}
+
+void leaveMembership(Gateway &gateway)
+{
+    StoreClient &store = gateway.m_store;
+    store.m_leaseTimer.stop();
+    if (store.m_lease == 0 || store.m_leaseCall->m_busy) {
+        return; // the lease ends by itself
+    }
+    callStore(gateway,
+              *store.m_leaseCall,
+              "DELETE",
+              Platform::formatLeaseEndTarget(store.m_lease),
+              "",
+              CallTimeout,
+              [](int, const std::string &) {});
+}
+
+} // namespace Medlarramp
--- /dev/null
+++ b/src/gateway_upstreams.cpp
@@ -0,0 +1,320 @@
+#include <algorithm>
+#include <charconv>
+
+#include <fmt/format.h>
+
+#include "gateway_internal.h"
+
+namespace Medlarramp {
+
+namespace {
+
+constexpr Duration UpstreamConnectTimeout = milliseconds(400); ///< several round trips between failure domains, one lost packet included
+constexpr Duration UpstreamSilence = milliseconds(3000); ///< keep-alive probes count whole seconds
+constexpr Duration RecentUse = milliseconds(1000); ///< a kept connection idle for longer may have been dropped without notice
+constexpr Duration DefaultIdleLimit = seconds(4); ///< for replicas that do not say how long they keep idle connections
+constexpr size_t MaxIdleConnections = 16; ///< of one replica
+constexpr double LatencyGain = 0.2; ///< weight of a new observation
+constexpr double FailureGain = 0.2;
+constexpr double MaxFailureShare = 0.5; ///< of attempts; above it a replica counts as failing
+constexpr Duration SuspicionBase = milliseconds(1000); ///< doubles with each failure in a row
+constexpr int MaxSuspicionDoublings = 3;
+
+void closeUpstream(Gateway &gateway, UpstreamConnection *connection);
+void finishCall(Gateway &gateway, UpstreamConnection *connection, CallEnd end);
+
+Upstream *findUpstream(Gateway &gateway, const std::string &replica)
+{
+    const auto upstream = gateway.m_upstreams.find(replica);
+    return upstream == gateway.m_upstreams.end() ? nullptr : &upstream->second;
+}
+
+Duration idleLimitOf(const HttpHeaders &headers)
+{
+    const std::optional<std::string_view> keepAlive = findHeader(headers, "keep-alive");
+    const size_t position = keepAlive ? keepAlive->find("timeout=") : std::string_view::npos;
+    if (position == std::string_view::npos) {
+        return DefaultIdleLimit;
+    }
+    const std::string_view text = keepAlive->substr(position + std::string_view("timeout=").size());
+    int64_t limit = 0;
+    std::from_chars(text.data(), text.data() + text.size(), limit);
+    // The replica counts from when it sent the answer, so its clock is ahead of ours.
+    return seconds(limit) * 3 / 4;
+}
+
+/** An answer to an earlier request that came late on a kept connection. */
+bool isForeignAnswer(const UpstreamCall &call, const HttpReader &reader)
+{
+    if (call.m_attemptId.empty()) {
+        return false;
+    }
+    const std::optional<std::string_view> echoed = findHeader(reader.m_headers, Platform::AttemptId);
+    return echoed && *echoed != call.m_attemptId;
+}
+
+void keepConnection(Gateway &gateway, UpstreamConnection *connection)
+{
+    Upstream *upstream = findUpstream(gateway, connection->m_replica);
+    const bool usable = upstream != nullptr && connection->m_reader.m_keepAlive && connection->m_reader.m_framed
+        && connection->m_net->queuedBytes() == 0 && upstream->m_idle.size() < MaxIdleConnections && upstream->m_registered;
+    if (!usable) {
+        closeUpstream(gateway, connection);
+        return;
+    }
+    connection->m_idleLimit = idleLimitOf(connection->m_reader.m_headers);
+    connection->m_idleSince = gatewayNow(gateway);
+    connection->m_reader.reset();
+    upstream->m_idle.push_back(connection);
+}
+
+void closeUpstream(Gateway &gateway, UpstreamConnection *connection)
+{
+    if (Upstream *upstream = findUpstream(gateway, connection->m_replica)) {
+        upstream->m_connections -= 1;
+        std::erase(upstream->m_idle, connection);
+    }
+    if (connection->m_net != nullptr) {
+        connection->m_net->close();
+    }
+    delete connection;
+}
+
+void finishCall(Gateway &gateway, UpstreamConnection *connection, CallEnd end)
+{
+    UpstreamCall *call = connection->m_call;
+    auto owned = std::move(gateway.m_calls.at(call->m_number));
+    gateway.m_calls.erase(call->m_number);
+    if (owned->m_onEnd) {
+        owned->m_onEnd(*owned, end);
+    }
+    connection->m_call = nullptr;
+    if (end == CallEnd::Done && connection->m_net != nullptr) {
+        keepConnection(gateway, connection);
+    } else {
+        closeUpstream(gateway, connection);
+    }
+}
+
+/** @return false when the connection has ended. */
+bool reportProgress(Gateway &gateway, UpstreamConnection *connection)
+{
+    UpstreamCall &call = *connection->m_call;
+    const uint64_t number = call.m_number;
+    if (!call.m_onProgress) {
+        return true;
+    }
+    call.m_onProgress(call);
+    return gateway.m_calls.contains(number);
+}
+
+void readAnswer(Gateway &gateway, UpstreamConnection *connection, std::string_view data)
+{
+    while (!data.empty()) {
+        if (connection->m_call == nullptr) {
+            closeUpstream(gateway, connection); // bytes that belong to no request
+            return;
+        }
+        connection->m_call->m_lastByteAt = gatewayNow(gateway);
+        HttpReader &reader = connection->m_reader;
+        data.remove_prefix(reader.feed(data));
+        const bool headDone = reader.m_state == ParseState::Body || reader.m_state == ParseState::Done;
+        if (headDone && isForeignAnswer(*connection->m_call, reader)) {
+            if (reader.m_state == ParseState::Done) {
+                reader.reset();
+            }
+            continue;
+        }
+        if (headDone && !reportProgress(gateway, connection)) {
+            return;
+        }
+        if (reader.m_state == ParseState::Done) {
+            if (!data.empty()) {
+                reader.m_keepAlive = false; // surplus bytes follow: the connection is not used again
+            }
+            finishCall(gateway, connection, CallEnd::Done);
+            return;
+        }
+        if (reader.m_state != ParseState::Head && reader.m_state != ParseState::Body) {
+            finishCall(gateway, connection, CallEnd::Malformed);
+            return;
+        }
+    }
+}
+
+void handleUpstreamClose(Gateway &gateway, UpstreamConnection *connection, CloseCause cause)
+{
+    connection->m_net = nullptr;
+    if (connection->m_call == nullptr) {
+        closeUpstream(gateway, connection);
+        return;
+    }
+    HttpReader &reader = connection->m_reader;
+    if (cause == CloseCause::End && reader.m_state == ParseState::Body && !reader.m_framed) {
+        reader.feedEnd();
+    }
+    if (reader.m_state == ParseState::Done) {
+        finishCall(gateway, connection, CallEnd::Done);
+        return;
+    }
+    finishCall(gateway, connection, connection->m_call->m_sent ? CallEnd::Lost : CallEnd::NotConnected);
+}
+
+UpstreamConnection *openConnection(Gateway &gateway, Upstream &upstream)
+{
+    auto *connection = new UpstreamConnection;
+    connection->m_replica = upstream.m_record.m_id;
+    ConnectionOptions options;
+    options.m_connectTimeout = UpstreamConnectTimeout;
+    options.m_silenceTimeout = UpstreamSilence;
+    connection->m_net = NetConnection::connect(gateway.m_loop, upstream.m_address, options);
+    connection->m_net->m_onConnect = [connection] {
+        if (connection->m_call != nullptr) {
+            connection->m_call->m_sent = true;
+            connection->m_net->write(std::exchange(connection->m_call->m_text, std::string()));
+        }
+    };
+    connection->m_net->m_onData = [&gateway, connection](std::string_view data) { readAnswer(gateway, connection, data); };
+    connection->m_net->m_onClose = [&gateway, connection](CloseCause cause, const absl::Status &) {
+        handleUpstreamClose(gateway, connection, cause);
+    };
+    upstream.m_connections += 1;
+    return connection;
+}
+
+UpstreamConnection *takeIdle(Gateway &gateway, Upstream &upstream, ConnectionUse use)
+{
+    while (use != ConnectionUse::Fresh && !upstream.m_idle.empty()) {
+        UpstreamConnection *connection = upstream.m_idle.back();
+        const Duration idle = gatewayNow(gateway) - connection->m_idleSince;
+        if (idle >= connection->m_idleLimit) {
+            closeUpstream(gateway, connection);
+            continue;
+        }
+        if (use == ConnectionUse::Recent && idle > RecentUse) {
+            return nullptr;
+        }
+        upstream.m_idle.pop_back();
+        return connection;
+    }
+    return nullptr;
+}
+
+} // namespace
+
+UpstreamCall *startCall(Gateway &gateway, const std::string &replica, UpstreamCall prototype, ConnectionUse use)
+{
+    auto owned = std::make_unique<UpstreamCall>(std::move(prototype));
+    UpstreamCall *call = owned.get();
+    call->m_number = gateway.m_nextNumber++;
+    call->m_replica = replica;
+    call->m_startedAt = gatewayNow(gateway);
+    call->m_lastByteAt = call->m_startedAt;
+    gateway.m_calls.emplace(call->m_number, std::move(owned));
+    Upstream &upstream = gateway.m_upstreams.at(replica);
+    UpstreamConnection *connection = takeIdle(gateway, upstream, use);
+    const bool kept = connection != nullptr;
+    if (!kept) {
+        connection = openConnection(gateway, upstream);
+    }
+    connection->m_call = call;
+    call->m_connection = connection;
+    if (kept) {
+        call->m_sent = true;
+        connection->m_net->write(std::exchange(call->m_text, std::string()));
+    }
+    return call;
+}
+
+void cancelCall(Gateway &gateway, uint64_t number)
+{
+    const auto call = gateway.m_calls.find(number);
+    if (call == gateway.m_calls.end()) {
+        return;
+    }
+    UpstreamConnection *connection = call->second->m_connection;
+    gateway.m_calls.erase(call);
+    connection->m_call = nullptr;
+    closeUpstream(gateway, connection);
+}
+
+HttpReader &answerOf(UpstreamCall &call)
+{
+    return call.m_connection->m_reader;
+}
+
+void syncUpstreams(Gateway &gateway)
+{
+    for (auto &[id, upstream] : gateway.m_upstreams) {
+        upstream.m_registered = false;
+    }
+    gateway.m_replicasByService.clear();
+    for (const auto &[id, replica] : gateway.m_registry.m_replicas) {
+        const std::optional<SocketAddress> address = parseSocketAddress(replica.m_record.m_address);
+        if (!address) {
+            continue;
+        }
+        Upstream &upstream = gateway.m_upstreams[id];
+        if (upstream.m_record.m_born != replica.m_record.m_born || upstream.m_record.m_address != replica.m_record.m_address) {
+            // A new incarnation: nothing known of the one before holds.
+            upstream.m_latency = 0;
+            upstream.m_failureShare = 0;
+            upstream.m_failures = 0;
+            upstream.m_suspectedUntil = TimePoint();
+        }
+        upstream.m_record = replica.m_record;
+        upstream.m_address = *address;
+        upstream.m_registered = true;
+        if (acceptsWork(replica)) {
+            gateway.m_replicasByService[replica.m_record.m_service].push_back(id);
+        }
+    }
+    std::vector<UpstreamConnection *> unused;
+    for (auto &[id, upstream] : gateway.m_upstreams) {
+        if (!upstream.m_registered) {
+            unused.insert(unused.end(), upstream.m_idle.begin(), upstream.m_idle.end());
+        }
+    }
+    for (UpstreamConnection *connection : unused) {
+        closeUpstream(gateway, connection);
+    }
+    std::erase_if(gateway.m_upstreams, [](const auto &entry) { return !entry.second.m_registered && entry.second.m_connections == 0; });
+    syncQueues(gateway);
+}
+
+void closeIdleUpstreams(Gateway &gateway)
+{
+    std::vector<UpstreamConnection *> expired;
+    for (auto &[id, upstream] : gateway.m_upstreams) {
+        for (UpstreamConnection *connection : upstream.m_idle) {
+            if (gatewayNow(gateway) - connection->m_idleSince >= connection->m_idleLimit) {
+                expired.push_back(connection);
+            }
+        }
+    }
+    for (UpstreamConnection *connection : expired) {
+        closeUpstream(gateway, connection);
+    }
+}
+
+void observeAttempt(Gateway &gateway, const std::string &replica, bool failed, bool certain, Duration latency)
+{
+    Upstream *upstream = findUpstream(gateway, replica);
+    if (upstream == nullptr) {
+        return;
+    }
+    upstream->m_failureShare += FailureGain * ((failed ? 1.0 : 0.0) - upstream->m_failureShare);
+    if (!failed) {
+        upstream->m_failures = 0;
+        const double observed = static_cast<double>(latency.count()) / 1e6;
+        upstream->m_latency = upstream->m_latency > 0 ? upstream->m_latency + LatencyGain * (observed - upstream->m_latency) : observed;
+        return;
+    }
+    if (certain || upstream->m_failureShare > MaxFailureShare) {
+        const Duration suspicion = SuspicionBase * (int64_t{1} << std::min(upstream->m_failures, MaxSuspicionDoublings));
+        upstream->m_failures += 1;
+        upstream->m_suspectedUntil = gatewayNow(gateway) + suspicion;
+    }
+}
+
+} // namespace Medlarramp
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -10,6 +10,7 @@
 #include <httplib.h>
 
 #include "entry.h"
+#include "gateway.h"
 #include "main_admin.h"
 #include "main_demo.h"
 
@@ -125,6 +126,36 @@
     command->callback([settings, &exitCode] { exitCode = runServe(*settings); });
 }
 
+int runGatewayCommand(std::string path)
+{
+    if (path.empty()) {
+        const char *environment = std::getenv("MEDLARRAMP_SETTINGS");
+        path = environment == nullptr ? "" : environment;
+    }
+    Findings findings;
+    const std::optional<nlohmann::json> value = readJsonFile(path, findings);
+    const GatewaySettings settings = value ? parseGatewaySettings(*value, path, findings) : GatewaySettings();
+    if (!findings.empty()) {
+        printFindings(findings, false);
+        return ExitUsage;
+    }
+    setLogLevel(settings.m_logLevel);
+    Clock clock;
+    if (const absl::Status status = runGateway(settings, path, clock); !status.ok()) {
+        writeLog(LogLevel::Error, "main", "Start failed.", {{"error", std::string(status.message())}});
+        return ExitRefused;
+    }
+    return ExitDone;
+}
+
+void addGatewayCommand(CLI::App &app, int &exitCode)
+{
+    CLI::App *command = app.add_subcommand("gateway", "Run a gateway process until SIGTERM or SIGINT.");
+    auto settings = std::make_shared<std::string>();
+    command->add_option("--settings", *settings, "Settings file; otherwise MEDLARRAMP_SETTINGS names it");
+    command->callback([settings, &exitCode] { exitCode = runGatewayCommand(*settings); });
+}
+
 int runStatus(const std::string &server, bool json)
 {
     const std::optional<Address> address = parseAddress(server);
@@ -181,6 +212,7 @@
     int exitCode = ExitDone;
     app.add_subcommand("version", "Print the version.")->callback([] { fmt::print("medlarramp {}\n", MEDLARRAMP_VERSION); });
     addServeCommand(app, exitCode);
+    addGatewayCommand(app, exitCode);
     addCheckCommand(app, exitCode);
     addStatusCommand(app, exitCode);
     addAdminCommands(app, exitCode);
--- /dev/null
+++ b/src/net.h
@@ -0,0 +1,276 @@
+#pragma once
+
+/**
+ * medlarramp net: one event loop with TCP connections, timers and HTTP/1.1 messages.
+ *
+ * Index of sections:
+ *  [SECTION] Loop         the event loop and its clock
+ *  [SECTION] Timers       one-shot timers on the loop
+ *  [SECTION] Connections  TCP connections and listeners
+ *  [SECTION] Messages     HTTP/1.1 heads, as read and as written
+ *  [SECTION] Parsers      incremental readers of requests and answers
+ *
+ * Everything here belongs to the thread that runs the loop.
+ */
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include <absl/status/status.h>
+#include <absl/status/statusor.h>
+#include <http_parser.h>
+#include <uv.h>
+
+#include "core.h"
+
+namespace Medlarramp {
+
+//-----------------------------------------------------------------------------
+// [SECTION] Loop
+//-----------------------------------------------------------------------------
+
+constexpr size_t ReadBufferBytes = 64 * 1024; ///< one buffer a loop, as readers consume what they get at once
+
+struct NetLoop {
+    uv_loop_t m_loop{};
+    Clock *m_clock = nullptr;
+    std::vector<char> m_readBuffer;
+};
+
+void initLoop(NetLoop &loop, Clock &clock);
+/** Runs until stopLoop(). */
+void runLoop(NetLoop &loop);
+void stopLoop(NetLoop &loop);
+TimePoint loopNow(const NetLoop &loop);
+
+//-----------------------------------------------------------------------------
+// [SECTION] Timers
+//-----------------------------------------------------------------------------
+
+/** A timer that fires once for each start. Destroying it stops it. */
+class NetTimer
+{
+public:
+    NetTimer() = default;
+    ~NetTimer();
+    NetTimer(const NetTimer &) = delete;
+    NetTimer &operator=(const NetTimer &) = delete;
+
+    /** Starts or restarts. A delay below 1 ms counts as 1 ms. */
+    void start(NetLoop &loop, Duration delay, std::function<void()> callback);
+    void stop();
+    [[nodiscard]] bool isActive() const;
+
+private:
+    struct Handle;
+    Handle *m_handle = nullptr;
+};
+
+//-----------------------------------------------------------------------------
+// [SECTION] Connections
+//-----------------------------------------------------------------------------
+
+struct SocketAddress {
+    std::string m_host; ///< IPv4 number
+    int m_port = 0;
+
+    bool operator==(const SocketAddress &) const = default;
+};
+
+/** Parses "IP:PORT" of IPv4. */
+std::optional<SocketAddress> parseSocketAddress(std::string_view text);
+std::string toString(const SocketAddress &address);
+
+struct ConnectionOptions {
+    Duration m_connectTimeout = milliseconds(1000); ///< until the handshake ends
+    /** Sent data that stays unacknowledged for this time ends the connection; also the limit of keep-alive probes. */
+    Duration m_silenceTimeout = milliseconds(3000);
+    bool m_probeIdle = true; ///< keep-alive probes each second while nothing is received
+};
+
+enum class CloseCause : uint8_t {
+    End, ///< the peer finished sending
+    Reset, ///< an error, also a failed handshake
+};
+
+/**
+ * One TCP connection. The owner keeps the pointer until it calls close() or m_onClose is called; both end the
+ * object, and no callback comes after either.
+ */
+class NetConnection
+{
+public:
+    std::function<void()> m_onConnect; ///< outgoing connections only
+    std::function<void(std::string_view)> m_onData;
+    std::function<void(CloseCause, absl::Status)> m_onClose;
+
+    static NetConnection *connect(NetLoop &loop, const SocketAddress &address, const ConnectionOptions &options);
+    static NetConnection *accept(NetLoop &loop, uv_stream_t *listener, const ConnectionOptions &options);
+
+    /** Writes at once what the socket takes and queues the rest. */
+    void write(std::string data);
+    /** Ends the connection after all queued data has been written; reads nothing more. */
+    void closeAfterWrites();
+    void close();
+    [[nodiscard]] size_t queuedBytes() const;
+    [[nodiscard]] bool isConnected() const
+    {
+        return m_connected;
+    }
+    [[nodiscard]] NetLoop &loop()
+    {
+        return *m_netLoop;
+    }
+
+private:
+    explicit NetConnection(NetLoop &loop);
+    ~NetConnection() = default;
+    void startReading();
+    void applyOptions();
+    void finish(CloseCause cause, absl::Status status);
+    void flushPending();
+    void shutdownWhenDrained();
+    static void onAlloc(uv_handle_t *handle, size_t suggested, uv_buf_t *buffer);
+    static void onRead(uv_stream_t *stream, ssize_t count, const uv_buf_t *buffer);
+
+    NetLoop *m_netLoop;
+    uv_tcp_t m_tcp{};
+    uv_connect_t m_connectRequest{};
+    ConnectionOptions m_options;
+    NetTimer m_connectTimer;
+    std::string m_pending; ///< written before the handshake ended
+    size_t m_queued = 0; ///< bytes in write requests
+    bool m_connected = false;
+    bool m_closing = false;
+    bool m_closeAfterWrites = false;
+    bool m_discards = false; ///< received bytes are dropped
+};
+
+class NetListener
+{
+public:
+    NetListener() = default;
+    ~NetListener();
+    NetListener(const NetListener &) = delete;
+    NetListener &operator=(const NetListener &) = delete;
+
+    /** Errors: the address is in use or not local. */
+    absl::Status
+    listen(NetLoop &loop, const SocketAddress &address, const ConnectionOptions &options, std::function<void(NetConnection *)> onAccept);
+    void close();
+
+private:
+    struct Handle;
+    Handle *m_handle = nullptr;
+};
+
+//-----------------------------------------------------------------------------
+// [SECTION] Messages
+//-----------------------------------------------------------------------------
+
+struct HttpHeader {
+    std::string m_name;
+    std::string m_value;
+
+    bool operator==(const HttpHeader &) const = default;
+};
+
+using HttpHeaders = std::vector<HttpHeader>;
+
+bool equalHeaderNames(std::string_view left, std::string_view right);
+/** Value of the first header of that name; nothing when absent. */
+std::optional<std::string_view> findHeader(const HttpHeaders &headers, std::string_view name);
+/** Headers that concern one connection only (RFC 9110, 7.6.1), and those that carry the framing. */
+bool isHopByHop(std::string_view name);
+/** Names listed in the Connection header. */
+std::vector<std::string> connectionTokens(const HttpHeaders &headers);
+
+struct HttpRequest {
+    std::string m_method;
+    std::string m_target; ///< path and query as received
+    HttpHeaders m_headers;
+    std::string m_body;
+    bool m_keepAlive = true;
+};
+
+struct HttpAnswer {
+    int m_status = 0;
+    HttpHeaders m_headers;
+    std::string m_body;
+    bool m_keepAlive = true;
+};
+
+/** Head of a request with Content-Length where the method has a body or one is given. */
+std::string formatRequest(const std::string &method, const std::string &target, const HttpHeaders &headers, std::string_view body);
+std::string formatAnswer(int status, const HttpHeaders &headers, std::string_view body, bool keepAlive);
+/** Head of an answer whose body follows in chunks. */
+std::string formatChunkedHead(int status, const HttpHeaders &headers, bool keepAlive);
+std::string formatChunk(std::string_view data);
+constexpr std::string_view LastChunk = "0\r\n\r\n";
+
+//-----------------------------------------------------------------------------
+// [SECTION] Parsers
+//-----------------------------------------------------------------------------
+
+enum class ParseState : uint8_t {
+    Head, ///< the head is not complete
+    Body,
+    Done,
+    Failed, ///< the bytes are no message
+    HeadTooLarge,
+    BodyTooLarge,
+};
+
+/** Incremental reader of one HTTP/1.1 message after the other. */
+class HttpReader
+{
+public:
+    HttpReader(http_parser_type type, size_t maxHeadBytes, size_t maxBodyBytes);
+    HttpReader(const HttpReader &) = delete;
+    HttpReader &operator=(const HttpReader &) = delete;
+
+    /** Feeds bytes until they end or a message is done. @return the number of bytes used. */
+    size_t feed(std::string_view data);
+    /** The peer has finished sending. Completes a message that is framed by the end of the connection. */
+    void feedEnd();
+    /** Prepares for the next message on the connection. */
+    void reset();
+    void setLimits(size_t maxHeadBytes, size_t maxBodyBytes);
+
+    ParseState m_state = ParseState::Head;
+    bool m_started = false; ///< at least one byte of the message was read
+    bool m_framed = false; ///< the message has a length or chunks
+    int m_status = 0;
+    std::string m_method;
+    std::string m_target;
+    HttpHeaders m_headers;
+    std::string m_body; ///< the part not yet taken by the user
+    bool m_keepAlive = true;
+    bool m_expectContinue = false;
+
+private:
+    static int onUrl(http_parser *parser, const char *data, size_t length);
+    static int onField(http_parser *parser, const char *data, size_t length);
+    static int onValue(http_parser *parser, const char *data, size_t length);
+    static int onHeadersComplete(http_parser *parser);
+    static int onBody(http_parser *parser, const char *data, size_t length);
+    static int onMessageComplete(http_parser *parser);
+    bool countHead(size_t bytes);
+
+    http_parser m_parser{};
+    http_parser_settings m_settings{};
+    http_parser_type m_type;
+    size_t m_maxHeadBytes;
+    size_t m_maxBodyBytes;
+    size_t m_headBytes = 0;
+    size_t m_bodyBytes = 0;
+    bool m_lastWasValue = true;
+};
+
+} // namespace Medlarramp
--- /dev/null
+++ b/src/serving_plan.cpp
@@ -0,0 +1,142 @@
+#include <algorithm>
+
+#include "serving.h"
+
+namespace Medlarramp {
+
+namespace {
+
+constexpr int64_t LargeResultBytes = 200'000; ///< results above it fill the room of their replicas; they are made just in time
+
+bool isFollowed(const ServingRoute &route, const StagePlan &plan, size_t stage)
+{
+    for (size_t other = 0; other < route.m_stages.size(); ++other) {
+        const std::vector<size_t> &after = route.m_stages[other].m_after;
+        if (plan.m_stages[other].m_pieces > 0 && std::find(after.begin(), after.end(), stage) != after.end()) {
+            return true;
+        }
+    }
+    return false;
+}
+
+bool areInputsDone(const ServingRoute &route, const StagePlan &plan, size_t stage)
+{
+    const std::vector<size_t> &after = route.m_stages[stage].m_after;
+    return std::all_of(after.begin(), after.end(), [&](size_t input) {
+        return input < plan.m_stages.size() && plan.m_stages[input].m_state == StageState::Done;
+    });
+}
+
+bool areFollowersDone(const ServingRoute &route, const StagePlan &plan, size_t stage)
+{
+    for (size_t other = 0; other < route.m_stages.size(); ++other) {
+        const std::vector<size_t> &after = route.m_stages[other].m_after;
+        if (std::find(after.begin(), after.end(), stage) != after.end() && plan.m_stages[other].m_state != StageState::Done) {
+            return false;
+        }
+    }
+    return true;
+}
+
+} // namespace
+
+StagePlan makePlan(const ServingRoute &route, const std::vector<int> &pieces)
+{
+    StagePlan plan;
+    plan.m_stages.resize(route.m_stages.size());
+    for (size_t i = 0; i < plan.m_stages.size(); ++i) {
+        plan.m_stages[i].m_pieces = i < pieces.size() ? std::max(0, pieces[i]) : 0;
+        plan.m_stages[i].m_state = plan.m_stages[i].m_pieces == 0 ? StageState::Done : StageState::Waiting;
+    }
+    return plan;
+}
+
+std::vector<std::string> inputsOf(const ServingRoute &route, const StagePlan &plan, size_t stage)
+{
+    std::vector<std::string> inputs;
+    for (const size_t input : route.m_stages[stage].m_after) {
+        const std::vector<std::string> &handles = plan.m_stages[input].m_handles;
+        inputs.insert(inputs.end(), handles.begin(), handles.end());
+    }
+    return inputs;
+}
+
+std::vector<std::string> finalInputs(const ServingRoute &route, const StagePlan &plan)
+{
+    std::vector<std::string> inputs;
+    for (size_t stage = 0; stage < plan.m_stages.size(); ++stage) {
+        if (!isFollowed(route, plan, stage)) {
+            const std::vector<std::string> &handles = plan.m_stages[stage].m_handles;
+            inputs.insert(inputs.end(), handles.begin(), handles.end());
+        }
+    }
+    return inputs;
+}
+
+bool isPlanDone(const StagePlan &plan)
+{
+    return std::all_of(
+        plan.m_stages.begin(), plan.m_stages.end(), [](const PlannedStage &stage) { return stage.m_state == StageState::Done; });
+}
+
+std::vector<size_t> readyStages(const ServingRoute &route, const StagePlan &plan)
+{
+    std::vector<size_t> ready;
+    for (size_t stage = 0; stage < plan.m_stages.size(); ++stage) {
+        if (plan.m_stages[stage].m_state == StageState::Waiting && areInputsDone(route, plan, stage)) {
+            ready.push_back(stage);
+        }
+    }
+    return ready;
+}
+
+std::vector<size_t> spentStages(const ServingRoute &route, const StagePlan &plan)
+{
+    std::vector<size_t> spent;
+    for (size_t stage = 0; stage < plan.m_stages.size(); ++stage) {
+        const PlannedStage &planned = plan.m_stages[stage];
+        if (planned.m_state == StageState::Done && !planned.m_freed && !planned.m_handles.empty() && isFollowed(route, plan, stage)
+            && areFollowersDone(route, plan, stage)) {
+            spent.push_back(stage);
+        }
+    }
+    return spent;
+}
+
+Duration expectedStageTime(const ServingConfiguration &configuration, const ServingRoute &route, size_t stage)
+{
+    const ServingService *service = findService(configuration, route.m_stages[stage].m_service);
+    if (service == nullptr || !service->m_pieces) {
+        return Duration(0);
+    }
+    const PieceLimits &limits = *service->m_pieces;
+    return limits.m_callTime + limits.m_pieceTime * limits.m_batch / 2;
+}
+
+Duration expectedChainTime(const ServingConfiguration &configuration, const ServingRoute &route, const StagePlan &plan, size_t stage)
+{
+    Duration longest{};
+    for (size_t other = stage + 1; other < route.m_stages.size(); ++other) {
+        const std::vector<size_t> &after = route.m_stages[other].m_after;
+        if (plan.m_stages[other].m_state != StageState::Done && std::find(after.begin(), after.end(), stage) != after.end()) {
+            longest = std::max(longest, expectedChainTime(configuration, route, plan, other));
+        }
+    }
+    return longest + expectedStageTime(configuration, route, stage);
+}
+
+Duration stageDelay(const ServingConfiguration &configuration, const ServingRoute &route, const StagePlan &plan, size_t stage)
+{
+    if (route.m_stages[stage].m_resultBytes < LargeResultBytes || isFollowed(route, plan, stage)) {
+        return Duration(0);
+    }
+    Duration longest{};
+    for (size_t other = 0; other < route.m_stages.size(); ++other) {
+        if (other != stage && plan.m_stages[other].m_state != StageState::Done) {
+            longest = std::max(longest, expectedChainTime(configuration, route, plan, other));
+        }
+    }
+    return std::max(Duration(0), longest - expectedStageTime(configuration, route, stage));
+}
+
+} // namespace Medlarramp
--- /dev/null
+++ b/src/serving_queue.cpp
@@ -0,0 +1,406 @@
+#include <algorithm>
+#include <cmath>
+
+#include "serving.h"
+
+namespace Medlarramp {
+
+namespace {
+
+constexpr Duration RejectionPause = milliseconds(60); ///< a quarter of the time before a call's first piece
+constexpr Duration FailurePause = milliseconds(500); ///< doubles with each failure in a row
+constexpr int MaxPauseDoublings = 3;
+constexpr Duration SendAhead = milliseconds(20); ///< covers the way to the replica and back
+constexpr Duration DueSlack = milliseconds(50); ///< a task this late still counts as in time
+constexpr double SpeedGain = 0.2; ///< weight of a new observation
+constexpr double MinSpeed = 0.2;
+constexpr double MaxSpeed = 20;
+
+Duration expectedCallTime(const StageQueue &queue, size_t pieces)
+{
+    return queue.m_limits.m_callTime + queue.m_limits.m_pieceTime * static_cast<int64_t>(pieces);
+}
+
+TimePoint expectedEnd(const StageQueue &queue, const StageCall &call, double speed)
+{
+    const auto expected = static_cast<double>(expectedCallTime(queue, call.m_items.size()).count());
+    return call.m_sentAt + Duration(static_cast<int64_t>(expected * speed));
+}
+
+size_t waitingPieces(const StageQueue &queue)
+{
+    size_t pieces = 0;
+    for (const uint64_t ticket : queue.m_waiting) {
+        pieces += queue.m_tasks.at(ticket).m_pieces.size();
+    }
+    return pieces;
+}
+
+/** The end of the call that @p worker works on, when it has one only. */
+TimePoint lastEnd(const StageQueue &queue, const StageWorker &worker)
+{
+    TimePoint end{};
+    for (const auto &[id, call] : queue.m_calls) {
+        if (call.m_replica == worker.m_id) {
+            end = std::max(end, expectedEnd(queue, call, worker.m_speed));
+        }
+    }
+    return end;
+}
+
+bool isFree(const StageQueue &queue, const StageWorker &worker, size_t waiting, TimePoint now)
+{
+    if (!worker.m_usable || now < worker.m_pausedUntil) {
+        return false;
+    }
+    const int slots = queue.m_limits.m_slots;
+    if (worker.m_calls < slots) {
+        // After a failure one piece of work at a time shows whether the replica is well again.
+        return worker.m_failures == 0 || worker.m_calls == 0;
+    }
+    const bool fillsBatch = waiting >= static_cast<size_t>(queue.m_limits.m_batch);
+    return worker.m_calls == slots && queue.m_limits.m_queue > 0 && worker.m_failures == 0 && fillsBatch
+        && lastEnd(queue, worker) - now <= SendAhead;
+}
+
+bool isInTime(const StageTask &task, TimePoint now)
+{
+    return now <= task.m_due + DueSlack;
+}
+
+/** In time first, by due time; then what is late anyway, by rank. */
+bool goesBefore(const StageTask &left, const StageTask &right, TimePoint now)
+{
+    const bool leftInTime = isInTime(left, now);
+    const bool rightInTime = isInTime(right, now);
+    if (leftInTime != rightInTime) {
+        return leftInTime;
+    }
+    if (!leftInTime && left.m_rank != right.m_rank) {
+        return left.m_rank < right.m_rank;
+    }
+    return leftInTime ? left.m_due < right.m_due : left.m_deadline < right.m_deadline;
+}
+
+void sortWaiting(StageQueue &queue, TimePoint now)
+{
+    std::stable_sort(queue.m_waiting.begin(), queue.m_waiting.end(), [&](uint64_t left, uint64_t right) {
+        return goesBefore(queue.m_tasks.at(left), queue.m_tasks.at(right), now);
+    });
+}
+
+int64_t roomLeft(const StageQueue &queue, const StageWorker &worker)
+{
+    return queue.m_limits.m_roomBytes > 0 ? queue.m_limits.m_roomBytes - worker.m_heldBytes : std::numeric_limits<int64_t>::max();
+}
+
+/** Moves pieces of @p task into @p call as far as batch and room go. */
+void takePieces(const StageQueue &queue, const StageWorker &worker, StageTask &task, StageCall &call)
+{
+    const auto batch = static_cast<size_t>(queue.m_limits.m_batch);
+    while (!task.m_pieces.empty() && call.m_items.size() < batch) {
+        if (call.m_resultBytes + task.m_resultBytes > roomLeft(queue, worker)) {
+            return;
+        }
+        call.m_items.push_back({task.m_ticket, task.m_pieces.front()});
+        call.m_resultBytes += task.m_resultBytes;
+        task.m_pieces.erase(task.m_pieces.begin());
+    }
+}
+
+bool suitsDomain(const StageTask &task, const StageWorker &worker)
+{
+    return task.m_failureDomain.empty() || task.m_failureDomain == worker.m_failureDomain;
+}
+
+/** Fills a call for one replica: work whose results are read near it first, then any. */
+StageCall fillCall(StageQueue &queue, const StageWorker &worker)
+{
+    StageCall call;
+    call.m_replica = worker.m_id;
+    for (const bool nearOnly : {true, false}) {
+        for (const uint64_t ticket : queue.m_waiting) {
+            StageTask &task = queue.m_tasks.at(ticket);
+            if (!nearOnly || suitsDomain(task, worker)) {
+                takePieces(queue, worker, task, call);
+            }
+        }
+    }
+    std::erase_if(queue.m_waiting, [&](uint64_t ticket) { return queue.m_tasks.at(ticket).m_pieces.empty(); });
+    return call;
+}
+
+/** Replicas that are free, the fastest and least laden first. */
+std::vector<StageWorker *> freeWorkers(StageQueue &queue, TimePoint now)
+{
+    const size_t waiting = waitingPieces(queue);
+    std::vector<StageWorker *> workers;
+    for (auto &[id, worker] : queue.m_workers) {
+        if (isFree(queue, worker, waiting, now)) {
+            workers.push_back(&worker);
+        }
+    }
+    std::stable_sort(workers.begin(), workers.end(), [](const StageWorker *left, const StageWorker *right) {
+        return left->m_calls != right->m_calls ? left->m_calls < right->m_calls : left->m_speed < right->m_speed;
+    });
+    return workers;
+}
+
+bool takeQueueRepeat(StageQueue &queue, TimePoint now)
+{
+    while (!queue.m_repeats.empty() && queue.m_repeats.front() + queue.m_repeatWindow < now) {
+        queue.m_repeats.pop_front();
+    }
+    if (queue.m_repeats.size() >= queue.m_repeatAllowance) {
+        return false;
+    }
+    queue.m_repeats.push_back(now);
+    return true;
+}
+
+StageOutcome removeTask(StageQueue &queue, uint64_t ticket, Reason reason)
+{
+    StageOutcome outcome{std::move(queue.m_tasks.at(ticket)), reason};
+    queue.m_tasks.erase(ticket);
+    std::erase(queue.m_waiting, ticket);
+    return outcome;
+}
+
+Reason reasonOf(PieceFailure failure)
+{
+    switch (failure) {
+    case PieceFailure::Late:
+        return Reason::DeadlineUnreachable;
+    case PieceFailure::InputGone:
+        return Reason::NotFound;
+    case PieceFailure::NoRoom:
+    case PieceFailure::Rejected:
+        return Reason::UpstreamOverloaded;
+    case PieceFailure::Error:
+        return Reason::UpstreamError;
+    case PieceFailure::Lost:
+        return Reason::ConnectionLost;
+    }
+    return Reason::InternalError;
+}
+
+void observeSpeed(const StageQueue &queue, StageWorker &worker, const StageCall &call, TimePoint now)
+{
+    const auto expected = static_cast<double>(expectedCallTime(queue, call.m_items.size()).count());
+    const auto seen = static_cast<double>((now - call.m_sentAt).count());
+    const double ratio = std::clamp(seen / std::max(1.0, expected), MinSpeed, MaxSpeed);
+    worker.m_speed += SpeedGain * (ratio - worker.m_speed);
+}
+
+/** Results that nobody freed are gone at the replica by the end of their lifetime. */
+void dropOldResults(StageQueue &queue, TimePoint now)
+{
+    for (auto result = queue.m_results.begin(); result != queue.m_results.end();) {
+        if (now < result->second.m_endsAt) {
+            ++result;
+            continue;
+        }
+        const auto worker = queue.m_workers.find(result->second.m_replica);
+        if (worker != queue.m_workers.end()) {
+            worker->second.m_heldBytes -= result->second.m_bytes;
+        }
+        result = queue.m_results.erase(result);
+    }
+}
+
+} // namespace
+
+bool addTask(StageQueue &queue, StageTask task)
+{
+    if (queue.m_tasks.size() >= MaxWaitingTasks) {
+        return false;
+    }
+    task.m_ticket = queue.m_nextTicket++;
+    task.m_handles.resize(task.m_pieces.size());
+    queue.m_waiting.push_back(task.m_ticket);
+    queue.m_tasks.emplace(task.m_ticket, std::move(task));
+    return true;
+}
+
+std::vector<std::string> cancelTask(StageQueue &queue, const std::string &submitter, uint64_t submission)
+{
+    for (auto &[ticket, task] : queue.m_tasks) {
+        if (task.m_submission == submission && task.m_submitter == submitter) {
+            std::vector<std::string> handles = std::move(removeTask(queue, ticket, Reason::CallerGone).m_task.m_handles);
+            std::erase(handles, "");
+            return handles;
+        }
+    }
+    return {};
+}
+
+std::vector<StageCall> planCalls(StageQueue &queue, TimePoint now)
+{
+    std::vector<StageCall> calls;
+    dropOldResults(queue, now);
+    if (queue.m_waiting.empty()) {
+        return calls;
+    }
+    sortWaiting(queue, now);
+    for (StageWorker *worker : freeWorkers(queue, now)) {
+        StageCall call = fillCall(queue, *worker);
+        if (call.m_items.empty()) {
+            continue;
+        }
+        call.m_call = queue.m_nextCall++;
+        call.m_sentAt = now;
+        worker->m_calls += 1;
+        worker->m_heldBytes += call.m_resultBytes;
+        queue.m_calls.emplace(call.m_call, call);
+        calls.push_back(std::move(call));
+    }
+    return calls;
+}
+
+std::vector<StageOutcome> expireTasks(StageQueue &queue, TimePoint now)
+{
+    std::vector<uint64_t> expired;
+    for (const uint64_t ticket : queue.m_waiting) {
+        const StageTask &task = queue.m_tasks.at(ticket);
+        if (task.m_deadline < now + expectedCallTime(queue, 1)) {
+            expired.push_back(ticket);
+        }
+    }
+    std::vector<StageOutcome> outcomes;
+    outcomes.reserve(expired.size());
+    for (const uint64_t ticket : expired) {
+        outcomes.push_back(removeTask(queue, ticket, Reason::DeadlineUnreachable));
+    }
+    return outcomes;
+}
+
+std::optional<StageOutcome> completePiece(StageQueue &queue, const StageCall &call, size_t item, std::string handle, TimePoint now)
+{
+    const StageCall::Item &piece = call.m_items[item];
+    const auto task = queue.m_tasks.find(piece.m_ticket);
+    const int64_t bytes = call.m_resultBytes / static_cast<int64_t>(call.m_items.size());
+    queue.m_results[handle] = {
+        call.m_replica, task == queue.m_tasks.end() ? bytes : task->second.m_resultBytes, now + queue.m_limits.m_resultLifetime};
+    if (task == queue.m_tasks.end()) {
+        return std::nullopt;
+    }
+    const auto index = static_cast<size_t>(piece.m_piece);
+    if (index >= task->second.m_handles.size() || !task->second.m_handles[index].empty()) {
+        return std::nullopt;
+    }
+    task->second.m_handles[index] = std::move(handle);
+    task->second.m_done += 1;
+    if (task->second.m_done < task->second.m_handles.size()) {
+        return std::nullopt;
+    }
+    return removeTask(queue, piece.m_ticket, Reason::None);
+}
+
+std::optional<StageOutcome> failPiece(StageQueue &queue, const StageCall &call, size_t item, PieceFailure failure, TimePoint now)
+{
+    const StageCall::Item &piece = call.m_items[item];
+    const auto task = queue.m_tasks.find(piece.m_ticket);
+    if (task == queue.m_tasks.end()) {
+        return std::nullopt;
+    }
+    const bool final = failure == PieceFailure::Late || failure == PieceFailure::InputGone;
+    if (final || !takeQueueRepeat(queue, now)) {
+        return removeTask(queue, piece.m_ticket, final ? reasonOf(failure) : Reason::RetryBudgetExhausted);
+    }
+    task->second.m_repeats += 1;
+    if (task->second.m_pieces.empty()) {
+        queue.m_waiting.push_back(piece.m_ticket);
+    }
+    task->second.m_pieces.push_back(piece.m_piece);
+    return std::nullopt;
+}
+
+void endCall(StageQueue &queue, uint64_t call, bool failed, TimePoint now)
+{
+    const auto open = queue.m_calls.find(call);
+    if (open == queue.m_calls.end()) {
+        return;
+    }
+    const auto worker = queue.m_workers.find(open->second.m_replica);
+    if (worker != queue.m_workers.end()) {
+        StageWorker &replica = worker->second;
+        replica.m_calls -= 1;
+        int64_t held = 0;
+        for (const auto &[handle, result] : queue.m_results) {
+            held += result.m_replica == replica.m_id ? result.m_bytes : 0;
+        }
+        for (const auto &[id, other] : queue.m_calls) {
+            held += id != call && other.m_replica == replica.m_id ? other.m_resultBytes : 0;
+        }
+        replica.m_heldBytes = held;
+        if (failed) {
+            const Duration pause = FailurePause * (int64_t{1} << std::min(replica.m_failures, MaxPauseDoublings));
+            replica.m_failures += 1;
+            replica.m_pausedUntil = now + pause;
+        } else {
+            replica.m_failures = 0;
+            observeSpeed(queue, replica, open->second, now);
+        }
+    }
+    queue.m_calls.erase(open);
+}
+
+std::string releaseResult(StageQueue &queue, const std::string &handle)
+{
+    const auto result = queue.m_results.find(handle);
+    if (result == queue.m_results.end()) {
+        return {};
+    }
+    std::string replica = result->second.m_replica;
+    const auto worker = queue.m_workers.find(replica);
+    if (worker != queue.m_workers.end()) {
+        worker->second.m_heldBytes -= result->second.m_bytes;
+    }
+    queue.m_results.erase(result);
+    return replica;
+}
+
+std::optional<TimePoint> nextQueueEvent(const StageQueue &queue, TimePoint now)
+{
+    if (queue.m_waiting.empty()) {
+        return std::nullopt;
+    }
+    TimePoint next = now + seconds(1);
+    for (const auto &[id, worker] : queue.m_workers) {
+        if (!worker.m_usable) {
+            continue;
+        }
+        if (now < worker.m_pausedUntil) {
+            next = std::min(next, worker.m_pausedUntil);
+        }
+        if (worker.m_calls == queue.m_limits.m_slots) {
+            const TimePoint ahead = lastEnd(queue, worker) - SendAhead;
+            next = ahead > now ? std::min(next, ahead) : next;
+        }
+    }
+    for (const uint64_t ticket : queue.m_waiting) {
+        const TimePoint expiry = queue.m_tasks.at(ticket).m_deadline - expectedCallTime(queue, 1);
+        next = std::min(next, std::max(expiry, now));
+    }
+    return std::max(next, now + milliseconds(1));
+}
+
+Duration expectedWait(const StageQueue &queue, size_t pieces, TimePoint now)
+{
+    const auto usable = static_cast<size_t>(
+        std::count_if(queue.m_workers.begin(), queue.m_workers.end(), [](const auto &entry) { return entry.second.m_usable; }));
+    if (usable == 0) {
+        return queue.m_limits.m_resultLifetime;
+    }
+    Duration busy{};
+    for (const auto &[id, call] : queue.m_calls) {
+        busy += std::max(Duration(0), expectedEnd(queue, call, 1.0) - now);
+    }
+    const size_t total = waitingPieces(queue) + pieces;
+    const auto batch = static_cast<size_t>(queue.m_limits.m_batch);
+    const auto calls = static_cast<int64_t>((total + batch - 1) / batch);
+    const Duration work = queue.m_limits.m_callTime * calls + queue.m_limits.m_pieceTime * static_cast<int64_t>(total);
+    return (busy + work) / static_cast<int64_t>(usable);
+}
+
+} // namespace Medlarramp
--- /dev/null
+++ b/src/serving_registry.cpp
@@ -0,0 +1,154 @@
+#include <algorithm>
+#include <cassert>
+#include <cmath>
+#include <limits>
+
+#include "serving.h"
+
+namespace Medlarramp {
+
+namespace {
+
+/** Weighted rendezvous score (Mosharaf Chowdhury's logarithmic method): members win in proportion to their weight. */
+double rendezvousScore(std::string_view node, std::string_view subject, double weight)
+{
+    const uint64_t hash = combineHash(hash64(node), hash64(subject));
+    const double unit = (static_cast<double>(hash >> 11) + 0.5) / static_cast<double>(uint64_t{1} << 53);
+    return -weight / std::log(unit);
+}
+
+bool isSuspected(const Membership &membership, const std::string &node, TimePoint now)
+{
+    const auto suspicion = membership.m_suspectedUntil.find(node);
+    return suspicion != membership.m_suspectedUntil.end() && now < suspicion->second;
+}
+
+} // namespace
+
+//-----------------------------------------------------------------------------
+// Registry
+//-----------------------------------------------------------------------------
+
+void putReplica(Registry &registry, ReplicaRecord record)
+{
+    RegisteredReplica &replica = registry.m_replicas[record.m_id];
+    replica.m_record = std::move(record);
+    replica.m_removeAt.reset();
+}
+
+void removeReplica(Registry &registry, const std::string &id, TimePoint now)
+{
+    const auto replica = registry.m_replicas.find(id);
+    if (replica == registry.m_replicas.end()) {
+        return;
+    }
+    const bool lapsed = registry.m_storeBackAt && now < *registry.m_storeBackAt + LapsedGrace;
+    if (!lapsed) {
+        registry.m_replicas.erase(replica);
+        return;
+    }
+    if (!replica->second.m_removeAt) {
+        replica->second.m_removeAt = *registry.m_storeBackAt + LapsedGrace;
+    }
+}
+
+void replaceReplicas(Registry &registry, std::vector<ReplicaRecord> records, TimePoint now)
+{
+    std::unordered_set<std::string> listed;
+    for (ReplicaRecord &record : records) {
+        listed.insert(record.m_id);
+        putReplica(registry, std::move(record));
+    }
+    std::vector<std::string> missing;
+    for (const auto &[id, replica] : registry.m_replicas) {
+        if (!listed.contains(id)) {
+            missing.push_back(id);
+        }
+    }
+    for (const std::string &id : missing) {
+        removeReplica(registry, id, now);
+    }
+}
+
+std::optional<TimePoint> expireReplicas(Registry &registry, TimePoint now)
+{
+    std::optional<TimePoint> next;
+    for (auto replica = registry.m_replicas.begin(); replica != registry.m_replicas.end();) {
+        const std::optional<TimePoint> removeAt = replica->second.m_removeAt;
+        if (removeAt && *removeAt <= now) {
+            replica = registry.m_replicas.erase(replica);
+            continue;
+        }
+        if (removeAt && (!next || *removeAt < *next)) {
+            next = removeAt;
+        }
+        ++replica;
+    }
+    return next;
+}
+
+bool acceptsWork(const RegisteredReplica &replica)
+{
+    return !replica.m_record.m_draining;
+}
+
+//-----------------------------------------------------------------------------
+// Membership
+//-----------------------------------------------------------------------------
+
+void replaceMembers(Membership &membership, std::vector<Member> members, TimePoint now)
+{
+    std::map<std::string, Member> next;
+    for (Member &member : members) {
+        const auto previous = membership.m_members.find(member.m_node);
+        if (previous != membership.m_members.end() && previous->second.m_incarnation != member.m_incarnation) {
+            membership.m_suspectedUntil.erase(member.m_node);
+        }
+        std::string node = member.m_node;
+        next[std::move(node)] = std::move(member);
+    }
+    next[membership.m_self.m_node] = membership.m_self;
+    membership.m_members = std::move(next);
+    membership.m_counts.emplace_back(now, membership.m_members.size());
+    memberCount(membership, now);
+}
+
+void suspectMember(Membership &membership, const std::string &node, TimePoint now)
+{
+    if (node != membership.m_self.m_node) {
+        membership.m_suspectedUntil[node] = now + SuspicionTime;
+    }
+}
+
+const std::string &ownerOf(const Membership &membership, std::string_view service, TimePoint now)
+{
+    const std::string *owner = &membership.m_self.m_node;
+    double best = -1;
+    for (const auto &[node, member] : membership.m_members) {
+        if (isSuspected(membership, node, now)) {
+            continue;
+        }
+        const double score = rendezvousScore(node, service, member.m_weight);
+        if (score > best) {
+            best = score;
+            owner = &node;
+        }
+    }
+    return *owner;
+}
+
+size_t memberCount(Membership &membership, TimePoint now)
+{
+    std::deque<std::pair<TimePoint, size_t>> &counts = membership.m_counts;
+    // The last count before the window was in force at its start, so it stays.
+    while (counts.size() > 1 && counts[1].first + CountMemory < now) {
+        counts.pop_front();
+    }
+    size_t most = std::max<size_t>(1, membership.m_members.size());
+    for (const auto &[at, count] : counts) {
+        most = std::max(most, count);
+    }
+    return most;
+}
+
+} // namespace Medlarramp
