--- a/src/gateway_attempts.cpp
+++ b/src/gateway_attempts.cpp
@@ -292,7 +292,7 @@
 /** The results of stages are gone at their makers: work them out anew. */
 bool restartPlan(Gateway &gateway, Exchange &exchange)
 {
-    if (exchange.m_planRestarts >= MaxPlanRestarts || exchange.m_streaming) {
+    if (exchange.m_planRestarts >= MaxPlanRestarts) {
         return false;
     }
     exchange.m_planRestarts += 1;
@@ -335,6 +335,11 @@
         handleAttemptEnd(gateway, exchange, AttemptEnd::Lost, Reason::InvalidAnswer);
         return;
     }
+    if (exchange.m_streaming) {
+        // The caller has the head of another answer, so this one can't be passed on.
+        handleAttemptEnd(gateway, exchange, AttemptEnd::Lost, Reason::UpstreamError);
+        return;
+    }
     if (!isSuccess(reader.m_status)) {
         handleReplicaFailure(gateway, exchange, reader);
         return;
@@ -411,7 +416,7 @@
     HttpReader &reader = answerOf(call);
     const bool hasHead = reader.m_state == ParseState::Body || reader.m_state == ParseState::Done;
     exchange->m_attempts.m_sent += call.m_sent ? 1 : 0;
-    if (exchange->m_route->m_kind == RequestKind::Streaming && (exchange->m_streaming || (hasHead && isEventStream(reader)))) {
+    if (exchange->m_route->m_kind == RequestKind::Streaming && hasHead && isEventStream(reader)) {
         handleStreamEnd(gateway, *exchange, reader, end);
         return;
     }
@@ -455,9 +460,7 @@
 {
     const std::optional<std::string> replica = chooseReplica(gateway, exchange);
     if (!replica) {
-        if (exchange.m_streaming) {
-            breakExchange(gateway, exchange, Reason::NoUpstream);
-        } else if (exchange.m_attempts.m_ran == 0) {
+        if (exchange.m_attempts.m_ran == 0) {
             refuseExchange(gateway, exchange, Reason::NoUpstream);
         } else {
             failExchange(gateway, exchange, HTTP_STATUS_BAD_GATEWAY, Reason::NoUpstream);
@@ -481,6 +484,18 @@
     limitAttempt(gateway, exchange);
 }
 
+std::string homeDomain(Gateway &gateway, const Exchange &exchange)
+{
+    if (!exchange.m_route->m_usesEngine) {
+        return {};
+    }
+    const std::vector<ReplicaView> views = viewReplicas(gateway, exchange);
+    PlacementRequest request;
+    request.m_parts = exchange.m_parts;
+    const std::optional<size_t> index = placePrompt(views, request);
+    return index ? views[*index].m_failureDomain : std::string();
+}
+
 void stopAttempt(Gateway &gateway, Exchange &exchange)
 {
     if (exchange.m_call != 0) {
--- a/src/gateway_internal.h
+++ b/src/gateway_internal.h
@@ -181,6 +181,8 @@
 /** All stages are done: places the request and sends it. */
 void startAttempt(Gateway &gateway, Exchange &exchange);
 void stopAttempt(Gateway &gateway, Exchange &exchange);
+/** Failure domain of the replica that the request will likely run on; empty when there is none. */
+std::string homeDomain(Gateway &gateway, const Exchange &exchange);
 
 //-----------------------------------------------------------------------------
 // [SECTION] Stages
--- a/src/gateway_requests.cpp
+++ b/src/gateway_requests.cpp
@@ -60,6 +60,11 @@
 /** Ends with an answer of the gateway's own. */
 void answerOwn(Gateway &gateway, Exchange &exchange, int status, HttpHeaders headers, Reason reason)
 {
+    if (exchange.m_streaming) {
+        // A head and events are with the caller: another answer in their place would end the stream as if complete.
+        breakExchange(gateway, exchange, reason);
+        return;
+    }
     countReason(gateway.m_refusals, reason);
     logEnd(gateway, exchange, status, reason);
     CallerConnection &caller = *exchange.m_caller;
--- a/src/serving_placement.cpp
+++ b/src/serving_placement.cpp
@@ -12,7 +12,7 @@
 constexpr double SuspicionCost = 1000; ///< above any real cost: a suspected replica is the last choice
 constexpr double TokenSeconds = 1.0 / 50'000; ///< time to read one prompt token
 constexpr double RunningSeconds = 0.004; ///< delay that a running request adds to others
-constexpr double InputSecondsPerByte = 4e-7; ///< price of a result read from another failure domain, as time
+constexpr double InputSecondsPerByte = 1e-8; ///< price of a result from another failure domain against that of reading a prompt token again
 constexpr double FullCost = 10; ///< seconds; a replica whose slots are taken lets requests wait for a whole run
 
 double runningEstimate(const ReplicaView &replica)
