--- a/src/gateway_requests.cpp
+++ b/src/gateway_requests.cpp
@@ -12,6 +12,8 @@
 constexpr Duration CallerTransit = milliseconds(5); ///< time that a request and its answer are on the way
 constexpr Duration DefaultRetryAfter = milliseconds(500);
 constexpr int64_t MaxDeadlineMs = 3'600'000;
+/** Later requests could be cut off by the end of the process; by then no new connection comes from the balancer. */
+constexpr Duration AdmitAfterTerm = milliseconds(3000);
 
 std::optional<int64_t> parseInteger(std::string_view text)
 {
@@ -152,6 +154,10 @@
         failExchange(gateway, exchange, HTTP_STATUS_BAD_REQUEST, Reason::MalformedRequest);
         return false;
     }
+    if (gateway.m_draining && gatewayNow(gateway) - gateway.m_drainBegan > AdmitAfterTerm) {
+        refuseExchange(gateway, exchange, Reason::Draining);
+        return false;
+    }
     return true;
 }
 
