Free results of stages once the calls that read them are at work; put off stage work by value

A replica fetches inputs at its turn, so they are freed 40 ms after that; a call that fails later has its stages worked out anew.

--- a/src/gateway_attempts.cpp
+++ b/src/gateway_attempts.cpp
@@ -289,24 +289,6 @@
     relayFailure(gateway, exchange, reader);
 }
 
-/** The results of stages are gone at their makers: work them out anew. */
-bool restartPlan(Gateway &gateway, Exchange &exchange)
-{
-    if (exchange.m_planRestarts >= MaxPlanRestarts) {
-        return false;
-    }
-    exchange.m_planRestarts += 1;
-    releaseStages(gateway, exchange, true);
-    for (PlannedStage &stage : exchange.m_plan.m_stages) {
-        if (stage.m_pieces > 0) {
-            stage = PlannedStage{stage.m_pieces, StageState::Waiting, {}, false};
-        }
-    }
-    countReason(gateway.m_retries, Reason::NotFound);
-    startStages(gateway, exchange);
-    return true;
-}
-
 void handleNotRun(Gateway &gateway, Exchange &exchange, HttpReader &reader)
 {
     if (reader.m_status == HTTP_STATUS_CONFLICT) {
@@ -484,6 +466,23 @@
     limitAttempt(gateway, exchange);
 }
 
+bool restartPlan(Gateway &gateway, Exchange &exchange)
+{
+    if (exchange.m_planRestarts >= MaxPlanRestarts) {
+        return false;
+    }
+    exchange.m_planRestarts += 1;
+    cancelStages(gateway, exchange);
+    for (PlannedStage &stage : exchange.m_plan.m_stages) {
+        if (stage.m_pieces > 0) {
+            stage = PlannedStage{stage.m_pieces, StageState::Waiting, {}, false, false};
+        }
+    }
+    countReason(gateway.m_retries, Reason::NotFound);
+    startStages(gateway, exchange);
+    return true;
+}
+
 std::string homeDomain(Gateway &gateway, const Exchange &exchange)
 {
     if (!exchange.m_route->m_usesEngine) {
--- a/src/gateway_internal.h
+++ b/src/gateway_internal.h
@@ -143,6 +143,7 @@
     std::string m_service;
     std::optional<size_t> m_organisation;
     int m_rank = 0;
+    double m_value = 1; ///< worth against other requests
     NetTimer m_deadlineTimer;
 
     StagePlan m_plan;
@@ -178,6 +179,8 @@
 void finishExchange(Gateway &gateway, Exchange &exchange, int status, const HttpHeaders &headers, std::string_view body);
 void finishStream(Gateway &gateway, Exchange &exchange);
 void breakExchange(Gateway &gateway, Exchange &exchange, Reason reason);
+/** Results of stages are gone at their makers: works all stages out anew. @return false when that was done before. */
+bool restartPlan(Gateway &gateway, Exchange &exchange);
 /** All stages are done: places the request and sends it. */
 void startAttempt(Gateway &gateway, Exchange &exchange);
 void stopAttempt(Gateway &gateway, Exchange &exchange);
@@ -199,6 +202,7 @@
 struct OwnedQueue {
     StageQueue m_queue;
     NetTimer m_timer;
+    std::map<uint64_t, NetTimer> m_starts; ///< by call: its replica is fetching the inputs
     std::map<std::string, std::vector<std::string>> m_releases; ///< handles to free by replica
     NetTimer m_releaseTimer;
 };
@@ -208,6 +212,8 @@
 /** Frees the results of stages that nobody reads any more; of all stages with @p everything. */
 void releaseStages(Gateway &gateway, Exchange &exchange, bool everything);
 void handleStageResult(Gateway &gateway, uint64_t submission, Reason reason, std::vector<std::string> handles);
+/** The replicas of a submitted stage have fetched their inputs: those that nobody else reads are freed. */
+void handleInputsRead(Gateway &gateway, uint64_t submission);
 /** Work of other gateways or of this one for an owned queue. */
 void enqueueTask(Gateway &gateway, const std::string &service, StageTask task);
 void cancelEnqueued(Gateway &gateway, const std::string &service, const std::string &submitter, uint64_t submission);
@@ -222,7 +228,7 @@
 // [SECTION] Peers
 //-----------------------------------------------------------------------------
 
-enum class PeerKind : uint8_t { Hello, Submit, Cancel, Release, Result, Ping, Pong, Load, Count };
+enum class PeerKind : uint8_t { Hello, Submit, Cancel, Release, Result, InputsRead, Ping, Pong, Load, Count };
 
 /** One message between gateways. Fields that a kind doesn't use stay empty. */
 struct PeerMessage {
@@ -236,6 +242,7 @@
     std::string m_key;
     std::vector<std::string> m_handles; ///< submit: inputs; release and result: results
     int32_t m_rank = 0;
+    double m_value = 1;
     int64_t m_leftUs = 0; ///< to the deadline
     int64_t m_dueUs = 0; ///< to the latest start; may be negative
     int64_t m_resultBytes = 0;
@@ -256,6 +263,7 @@
                 m_key,
                 m_handles,
                 m_rank,
+                m_value,
                 m_leftUs,
                 m_dueUs,
                 m_resultBytes,
@@ -325,6 +333,7 @@
     std::map<std::string, Upstream> m_upstreams; ///< by replica id
     std::map<std::string, std::vector<std::string>> m_replicasByService;
     std::map<std::string, RepeatBudget> m_repeats; ///< by service
+    std::map<std::string, SizeMean> m_sizes; ///< by route
     StoreClient m_store;
 
     NetListener m_frontListener;
--- a/src/gateway_peers.cpp
+++ b/src/gateway_peers.cpp
@@ -126,6 +126,7 @@
     task.m_key = message.m_key;
     task.m_inputs = message.m_handles;
     task.m_rank = message.m_rank;
+    task.m_value = message.m_value;
     task.m_deadline = now + Duration(message.m_leftUs);
     task.m_due = now + Duration(message.m_dueUs);
     task.m_resultBytes = message.m_resultBytes;
@@ -169,6 +170,9 @@
     case PeerKind::Result:
         handleStageResult(gateway, message.m_submission, static_cast<Reason>(message.m_reason), std::move(message.m_handles));
         return;
+    case PeerKind::InputsRead:
+        handleInputsRead(gateway, message.m_submission);
+        return;
     case PeerKind::Ping: {
         PeerMessage pong;
         pong.m_kind = PeerKind::Pong;
--- a/src/gateway_requests.cpp
+++ b/src/gateway_requests.cpp
@@ -116,7 +116,7 @@
     }
 }
 
-void prepareWork(Exchange &exchange)
+void prepareWork(Gateway &gateway, Exchange &exchange)
 {
     const ServingRoute &route = *exchange.m_route;
     exchange.m_attempts.m_kind = route.m_kind;
@@ -125,6 +125,8 @@
     exchange.m_service = chooseService(route, hash64(exchange.m_attemptId));
     exchange.m_rank = rankOf(*exchange.m_configuration, route, exchange.m_organisation);
     const HttpHeaders &headers = exchange.m_request.m_headers;
+    const double size = Platform::parseRequestSize(findHeader(headers, Platform::TokenCount).value_or(""));
+    exchange.m_value = requestValue(gateway.m_sizes[route.m_name], exchange.m_rank, size);
     exchange.m_parts = Platform::parsePromptParts(findHeader(headers, Platform::PromptParts).value_or(""));
     exchange.m_plan = makePlan(route, Platform::parsePieces(findHeader(headers, Platform::Pieces).value_or("")));
     if (const std::optional<int64_t> last = parseInteger(findHeader(headers, Platform::LastEventId).value_or("-"))) {
@@ -186,7 +188,7 @@
         return;
     }
     setTimes(gateway, exchange);
-    prepareWork(exchange);
+    prepareWork(gateway, exchange);
     countRequest(gateway.m_repeats[exchange.m_service], gateway.m_settings, exchange.m_receivedAt);
     const uint64_t number = exchange.m_number;
     exchange.m_deadlineTimer.start(gateway.m_loop, exchange.m_deadline - exchange.m_receivedAt, [&gateway, number] {
--- a/src/gateway_stages.cpp
+++ b/src/gateway_stages.cpp
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr Duration ReleaseDelay = milliseconds(20); ///< results that are freed within it share one call
+/** A replica fetches the inputs of a call when its turn comes: a way between failure domains and back, and a few MB. */
+constexpr Duration InputsReadAfter = milliseconds(40);
 constexpr size_t MaxReleases = 512; ///< handles of one call
 constexpr Duration CallSlack = milliseconds(1500); ///< a call this much over its expected time counts as lost
 constexpr int64_t CallSlackFactor = 4; ///< times the expected time, for replicas that are slow
@@ -40,6 +42,7 @@
         task.m_key = std::string(findHeader(exchange.m_request.m_headers, Platform::PieceKey).value_or(""));
     }
     task.m_rank = exchange.m_rank;
+    task.m_value = exchange.m_value;
     task.m_deadline = exchange.m_deadline;
     task.m_due = dueTime(exchange, stage);
     task.m_resultBytes = definition.m_resultBytes;
@@ -63,6 +66,7 @@
     message.m_key = task.m_key;
     message.m_handles = task.m_inputs;
     message.m_rank = task.m_rank;
+    message.m_value = task.m_value;
     message.m_leftUs = (task.m_deadline - now).count();
     message.m_dueUs = (task.m_due - now).count();
     message.m_resultBytes = task.m_resultBytes;
@@ -201,6 +205,7 @@
               {"replica", call.m_replica},
               {"pieces", fmt::format("{}", call.m_items.size())},
               {"failure", fmt::format("{}", static_cast<int>(failure))}});
+    owned.m_starts.erase(call.m_call);
     endCall(owned.m_queue, call.m_call, true, now);
     reportOutcomes(gateway, owned.m_queue.m_service, std::move(outcomes));
 }
@@ -233,6 +238,7 @@
             outcomes.push_back(std::move(*outcome));
         }
     }
+    owned.m_starts.erase(call.m_call);
     endCall(owned.m_queue, call.m_call, false, now);
     releaseHandles(gateway, owned.m_queue.m_service, unwanted);
     reportOutcomes(gateway, owned.m_queue.m_service, std::move(outcomes));
@@ -278,6 +284,28 @@
     });
 }
 
+void reportInputsRead(Gateway &gateway, OwnedQueue &owned, uint64_t call)
+{
+    for (const StageTask &task : noteInputsRead(owned.m_queue, call)) {
+        if (task.m_submitter == gateway.m_settings.m_node) {
+            handleInputsRead(gateway, task.m_submission);
+            continue;
+        }
+        PeerMessage message;
+        message.m_kind = PeerKind::InputsRead;
+        message.m_submission = task.m_submission;
+        sendToPeer(gateway, task.m_submitter, message);
+    }
+}
+
+void watchStarts(Gateway &gateway, OwnedQueue &owned)
+{
+    for (const uint64_t call : callsInTurn(owned.m_queue)) {
+        owned.m_queue.m_calls.at(call).m_working = true;
+        owned.m_starts[call].start(gateway.m_loop, InputsReadAfter, [&gateway, &owned, call] { reportInputsRead(gateway, owned, call); });
+    }
+}
+
 void runQueue(Gateway &gateway, OwnedQueue &owned)
 {
     const TimePoint now = gatewayNow(gateway);
@@ -285,6 +313,7 @@
     for (StageCall &call : planCalls(owned.m_queue, now)) {
         sendStageCall(gateway, owned, std::move(call));
     }
+    watchStarts(gateway, owned);
     const std::optional<TimePoint> next = nextQueueEvent(owned.m_queue, now);
     if (!next) {
         owned.m_timer.stop();
@@ -403,6 +432,9 @@
     }
     exchange->m_submissions.erase(open.m_stage);
     PlannedStage &planned = exchange->m_plan.m_stages[open.m_stage];
+    if (reason == Reason::NotFound && restartPlan(gateway, *exchange)) {
+        return;
+    }
     if (reason != Reason::None || handles.size() != static_cast<size_t>(planned.m_pieces)) {
         refuseExchange(gateway, *exchange, reason == Reason::None ? Reason::InvalidAnswer : reason);
         return;
@@ -416,6 +448,16 @@
     startStages(gateway, *exchange);
 }
 
+void handleInputsRead(Gateway &gateway, uint64_t submission)
+{
+    const auto entry = gateway.m_submissions.find(submission);
+    Exchange *exchange = entry == gateway.m_submissions.end() ? nullptr : findExchange(gateway, entry->second.m_exchange);
+    if (exchange != nullptr) {
+        exchange->m_plan.m_stages[entry->second.m_stage].m_inputsRead = true;
+        releaseStages(gateway, *exchange, false);
+    }
+}
+
 void enqueueTask(Gateway &gateway, const std::string &service, StageTask task)
 {
     OwnedQueue &owned = queueOf(gateway, service);
--- a/src/serving.h
+++ b/src/serving.h
@@ -259,6 +259,7 @@
     StageState m_state = StageState::Waiting;
     std::vector<std::string> m_handles; ///< results, in order of the pieces
     bool m_freed = false;
+    bool m_inputsRead = false; ///< its replicas have fetched the results it builds on
 };
 
 /** The stages of one request. */
@@ -266,6 +267,16 @@
     std::vector<PlannedStage> m_stages;
 };
 
+/** Mean size of the requests of one route, learned as they come. */
+struct SizeMean {
+    double m_mean = 0; ///< moving mean; 0: none seen
+};
+
+/**
+ * Worth of a request against others: larger ones of a route count more, and a rank below the most urgent two less.
+ * @p size in the unit of the route's other requests; 0 when unknown
+ */
+double requestValue(SizeMean &mean, int rank, double size);
 StagePlan makePlan(const ServingRoute &route, const std::vector<int> &pieces);
 /** Handles of all pieces of the stages in m_after of @p stage. */
 std::vector<std::string> inputsOf(const ServingRoute &route, const StagePlan &plan, size_t stage);
@@ -274,7 +285,7 @@
 bool isPlanDone(const StagePlan &plan);
 /** Stages that may be submitted now, as their inputs are there. */
 std::vector<size_t> readyStages(const ServingRoute &route, const StagePlan &plan);
-/** Stages whose results no stage and no run reads any more, given that all of @p plan's readers up to now are done. */
+/** Stages whose results have been read by all stages that follow, and that no run reads. */
 std::vector<size_t> spentStages(const ServingRoute &route, const StagePlan &plan);
 /** Expected time of a call of @p stage, with a batch half full. */
 Duration expectedStageTime(const ServingConfiguration &configuration, const ServingRoute &route, size_t stage);
@@ -297,6 +308,7 @@
     std::string m_key; ///< for stages without inputs
     std::vector<std::string> m_inputs;
     int m_rank = 0;
+    double m_value = 1; ///< worth of the request against others, for work that remains of it
     TimePoint m_deadline; ///< results are worthless after it
     TimePoint m_due; ///< start by then keeps the objective
     int64_t m_resultBytes = 0; ///< of one piece
@@ -304,6 +316,7 @@
     std::vector<int> m_pieces; ///< numbers of the pieces to produce
     std::vector<std::string> m_handles; ///< results by piece number
     size_t m_done = 0;
+    size_t m_started = 0; ///< pieces whose replicas have fetched their inputs
     int m_repeats = 0; ///< pieces that were sent again
 };
 
@@ -318,6 +331,7 @@
     std::vector<Item> m_items;
     TimePoint m_sentAt;
     int64_t m_resultBytes = 0;
+    bool m_working = false; ///< the call's turn has come
 };
 
 /** One replica of the service. */
@@ -376,10 +390,18 @@
 bool addTask(StageQueue &queue, StageTask task);
 /** Removes a task. @return handles of results that are not wanted any more. */
 std::vector<std::string> cancelTask(StageQueue &queue, const std::string &submitter, uint64_t submission);
-/** Calls to send now, marked as open. Load: bursts of 2.5 on 7 to 9 gateways, ordinary load of 72. */
+/**
+ * Calls to send now, marked as open. Load: bursts of 2.5 on 7 to 9 gateways, ordinary load of 72.
+ * What keeps its due time goes first, by due time. When not all can, the work of least value for each piece is put
+ * off (after Moore and Hodgson), so that an overload makes a few requests late instead of all.
+ */
 std::vector<StageCall> planCalls(StageQueue &queue, TimePoint now);
 /** Tasks that can't be finished before their deadline. */
 std::vector<StageOutcome> expireTasks(StageQueue &queue, TimePoint now);
+/** A call that no other call of its replica precedes, and that was not seen at work yet. */
+std::vector<uint64_t> callsInTurn(const StageQueue &queue);
+/** Tasks of which all pieces have fetched their inputs now that those of @p call have. */
+std::vector<StageTask> noteInputsRead(StageQueue &queue, uint64_t call);
 /** One piece of a call is done. @return the outcome when that finishes its task. */
 std::optional<StageOutcome> completePiece(StageQueue &queue, const StageCall &call, size_t item, std::string handle, TimePoint now);
 /** One piece of a call failed; it waits again, or its task ends. */
--- a/src/serving_plan.cpp
+++ b/src/serving_plan.cpp
@@ -27,19 +27,37 @@
     });
 }
 
-bool areFollowersDone(const ServingRoute &route, const StagePlan &plan, size_t stage)
+bool haveFollowersRead(const ServingRoute &route, const StagePlan &plan, size_t stage)
 {
     for (size_t other = 0; other < route.m_stages.size(); ++other) {
         const std::vector<size_t> &after = route.m_stages[other].m_after;
-        if (std::find(after.begin(), after.end(), stage) != after.end() && plan.m_stages[other].m_state != StageState::Done) {
+        const PlannedStage &follower = plan.m_stages[other];
+        const bool reads = std::find(after.begin(), after.end(), stage) != after.end();
+        if (reads && follower.m_state != StageState::Done && !follower.m_inputsRead) {
             return false;
         }
     }
     return true;
 }
 
+constexpr double SizeGain = 0.02; ///< weight of a new request in the moving mean
+constexpr double SmallestShare = 0.3; ///< part of a request's worth that does not depend on its size
+constexpr double LargestValue = 4; ///< times the mean worth of the route
+constexpr double BackgroundWeight = 0.3; ///< of ranks below the most urgent two
+constexpr int LastUrgentRank = 1;
+
 } // namespace
 
+double requestValue(SizeMean &mean, int rank, double size)
+{
+    const double weight = rank <= LastUrgentRank ? 1.0 : BackgroundWeight;
+    if (size <= 0) {
+        return weight;
+    }
+    mean.m_mean = mean.m_mean > 0 ? mean.m_mean + SizeGain * (size - mean.m_mean) : size;
+    return weight * std::min(LargestValue, SmallestShare + (1 - SmallestShare) * size / mean.m_mean);
+}
+
 StagePlan makePlan(const ServingRoute &route, const std::vector<int> &pieces)
 {
     StagePlan plan;
@@ -96,7 +114,7 @@
     for (size_t stage = 0; stage < plan.m_stages.size(); ++stage) {
         const PlannedStage &planned = plan.m_stages[stage];
         if (planned.m_state == StageState::Done && !planned.m_freed && !planned.m_handles.empty() && isFollowed(route, plan, stage)
-            && areFollowersDone(route, plan, stage)) {
+            && haveFollowersRead(route, plan, stage)) {
             spent.push_back(stage);
         }
     }
--- a/src/serving_queue.cpp
+++ b/src/serving_queue.cpp
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <cmath>
+#include <limits>
 
 #include "serving.h"
 
@@ -63,30 +64,74 @@
         && lastEnd(queue, worker) - now <= SendAhead;
 }
 
-bool isInTime(const StageTask &task, TimePoint now)
+/** Time that one more batch takes from the queue while all usable replicas work. */
+Duration batchInterval(const StageQueue &queue)
 {
-    return now <= task.m_due + DueSlack;
+    const auto usable =
+        std::count_if(queue.m_workers.begin(), queue.m_workers.end(), [](const auto &entry) { return entry.second.m_usable; });
+    return expectedCallTime(queue, static_cast<size_t>(queue.m_limits.m_batch)) / std::max<int64_t>(1, usable);
 }
 
-/** In time first, by due time; then what is late anyway, by rank. */
-bool goesBefore(const StageTask &left, const StageTask &right, TimePoint now)
+/** When the next replica gets free. */
+TimePoint firstFree(const StageQueue &queue, TimePoint now)
 {
-    const bool leftInTime = isInTime(left, now);
-    const bool rightInTime = isInTime(right, now);
-    if (leftInTime != rightInTime) {
-        return leftInTime;
-    }
-    if (!leftInTime && left.m_rank != right.m_rank) {
-        return left.m_rank < right.m_rank;
+    std::optional<TimePoint> first;
+    for (const auto &[id, worker] : queue.m_workers) {
+        if (worker.m_usable) {
+            const TimePoint free = std::max({now, worker.m_pausedUntil, lastEnd(queue, worker)});
+            first = first ? std::min(*first, free) : free;
+        }
     }
-    return leftInTime ? left.m_due < right.m_due : left.m_deadline < right.m_deadline;
+    return first.value_or(now);
+}
+
+double valueDensity(const StageTask &task)
+{
+    return task.m_value / static_cast<double>(std::max<size_t>(1, task.m_pieces.size()));
+}
+
+/** Tickets that can keep their due time, in order of it; the others stay in @p waiting. */
+std::vector<uint64_t> takeInTime(const StageQueue &queue, std::vector<uint64_t> &waiting, TimePoint now)
+{
+    const double interval = static_cast<double>(batchInterval(queue).count()) / std::max(1, queue.m_limits.m_batch);
+    const TimePoint start = firstFree(queue, now);
+    std::vector<uint64_t> kept;
+    std::vector<uint64_t> putOff;
+    size_t pieces = 0; // of the kept tasks
+    for (const uint64_t ticket : waiting) {
+        const StageTask &task = queue.m_tasks.at(ticket);
+        const Duration ahead(static_cast<int64_t>(static_cast<double>(pieces) * interval));
+        kept.push_back(ticket);
+        pieces += task.m_pieces.size();
+        if (start + ahead <= task.m_due + DueSlack) {
+            continue;
+        }
+        const auto least = std::min_element(kept.begin(), kept.end(), [&](uint64_t left, uint64_t right) {
+            return valueDensity(queue.m_tasks.at(left)) < valueDensity(queue.m_tasks.at(right));
+        });
+        // A task past its due time can't be saved by putting off another.
+        const auto victim = now > task.m_due + DueSlack ? std::prev(kept.end()) : least;
+        pieces -= queue.m_tasks.at(*victim).m_pieces.size();
+        putOff.push_back(*victim);
+        kept.erase(victim);
+    }
+    waiting = std::move(putOff);
+    return kept;
+}
+
+bool isMoreUrgent(const StageTask &left, const StageTask &right)
+{
+    return left.m_rank != right.m_rank ? left.m_rank < right.m_rank : left.m_deadline < right.m_deadline;
 }
 
 void sortWaiting(StageQueue &queue, TimePoint now)
 {
-    std::stable_sort(queue.m_waiting.begin(), queue.m_waiting.end(), [&](uint64_t left, uint64_t right) {
-        return goesBefore(queue.m_tasks.at(left), queue.m_tasks.at(right), now);
-    });
+    const auto taskOf = [&queue](uint64_t ticket) -> const StageTask & { return queue.m_tasks.at(ticket); };
+    std::vector<uint64_t> rest = std::move(queue.m_waiting);
+    std::stable_sort(rest.begin(), rest.end(), [&](uint64_t left, uint64_t right) { return taskOf(left).m_due < taskOf(right).m_due; });
+    queue.m_waiting = takeInTime(queue, rest, now);
+    std::stable_sort(rest.begin(), rest.end(), [&](uint64_t left, uint64_t right) { return isMoreUrgent(taskOf(left), taskOf(right)); });
+    queue.m_waiting.insert(queue.m_waiting.end(), rest.begin(), rest.end());
 }
 
 int64_t roomLeft(const StageQueue &queue, const StageWorker &worker)
@@ -257,6 +302,42 @@
     return calls;
 }
 
+std::vector<uint64_t> callsInTurn(const StageQueue &queue)
+{
+    std::map<std::string, int> working;
+    for (const auto &[id, call] : queue.m_calls) {
+        working[call.m_replica] += call.m_working ? 1 : 0;
+    }
+    std::vector<uint64_t> calls;
+    for (const auto &[id, call] : queue.m_calls) {
+        if (!call.m_working && working[call.m_replica] < queue.m_limits.m_slots) {
+            working[call.m_replica] += 1;
+            calls.push_back(id);
+        }
+    }
+    return calls;
+}
+
+std::vector<StageTask> noteInputsRead(StageQueue &queue, uint64_t call)
+{
+    std::vector<StageTask> tasks;
+    const auto open = queue.m_calls.find(call);
+    if (open == queue.m_calls.end()) {
+        return tasks;
+    }
+    for (const StageCall::Item &item : open->second.m_items) {
+        const auto task = queue.m_tasks.find(item.m_ticket);
+        if (task == queue.m_tasks.end()) {
+            continue;
+        }
+        task->second.m_started += 1;
+        if (task->second.m_started == task->second.m_handles.size()) {
+            tasks.push_back(task->second);
+        }
+    }
+    return tasks;
+}
+
 std::vector<StageOutcome> expireTasks(StageQueue &queue, TimePoint now)
 {
     std::vector<uint64_t> expired;
