--- a/src/gateway_attempts.cpp
+++ b/src/gateway_attempts.cpp
@@ -11,6 +11,7 @@
 
 constexpr Duration MinAnswerTimeout = milliseconds(350); ///< an idempotent attempt gets at least this; above the slowest ordinary work
 constexpr int64_t AnswerTimeoutFactor = 6; ///< times the usual time of the replica
+constexpr Duration InputsFetchedAfter = milliseconds(70); ///< handshake, request and fetch between failure domains
 constexpr int MaxPlanRestarts = 1; ///< stages are worked out anew so often when their results are gone
 
 void handleAttemptEnd(Gateway &gateway, Exchange &exchange, AttemptEnd end, Reason reason);
@@ -412,6 +413,22 @@
     handleAttemptEnd(gateway, *exchange, endOf(end), reason);
 }
 
+/** A replica fetches the results of stages before it reads the prompt. */
+void releaseAfterFetch(Gateway &gateway, Exchange &exchange)
+{
+    if (exchange.m_plan.m_stages.empty()) {
+        return;
+    }
+    const uint64_t number = exchange.m_number;
+    const uint64_t call = exchange.m_call;
+    exchange.m_attemptTimer.start(gateway.m_loop, InputsFetchedAfter, [&gateway, number, call] {
+        Exchange *open = findExchange(gateway, number);
+        if (open != nullptr && open->m_call == call) {
+            releaseStages(gateway, *open, true);
+        }
+    });
+}
+
 /** An idempotent request that another replica may run is not left with a silent one. */
 void limitAttempt(Gateway &gateway, Exchange &exchange)
 {
@@ -464,6 +481,7 @@
     const bool repeatable = exchange.m_attempts.m_kind == RequestKind::Idempotent || exchange.m_attempts.m_resumable;
     exchange.m_call = startCall(gateway, *replica, std::move(call), repeatable ? ConnectionUse::Kept : ConnectionUse::Recent)->m_number;
     limitAttempt(gateway, exchange);
+    releaseAfterFetch(gateway, exchange);
 }
 
 bool restartPlan(Gateway &gateway, Exchange &exchange)
--- a/src/gateway_internal.h
+++ b/src/gateway_internal.h
@@ -138,6 +138,7 @@
     TimePoint m_receivedAt;
     TimePoint m_deadline; ///< the caller's or the route's, whichever is first
     TimePoint m_objectiveAt;
+    TimePoint m_firstEventBy; ///< the caller gives up by then if nothing has come
     std::shared_ptr<const ServingConfiguration> m_configuration;
     const ServingRoute *m_route = nullptr;
     std::string m_service;
@@ -207,6 +208,11 @@
     NetTimer m_releaseTimer;
 };
 
+/** Starts the stages of a new request, or holds it while their queues are too long. */
+void beginStages(Gateway &gateway, Exchange &exchange);
+/** Starts held requests that may start now, by rank. */
+void startHeld(Gateway &gateway);
+void noteBacklog(Gateway &gateway, const std::string &service, Duration backlog);
 void startStages(Gateway &gateway, Exchange &exchange);
 void cancelStages(Gateway &gateway, Exchange &exchange);
 /** Frees the results of stages that nobody reads any more; of all stages with @p everything. */
@@ -228,7 +234,7 @@
 // [SECTION] Peers
 //-----------------------------------------------------------------------------
 
-enum class PeerKind : uint8_t { Hello, Submit, Cancel, Release, Result, InputsRead, Ping, Pong, Load, Count };
+enum class PeerKind : uint8_t { Hello, Submit, Cancel, Release, Result, InputsRead, Backlog, Ping, Pong, Load, Count };
 
 /** One message between gateways. Fields that a kind doesn't use stay empty. */
 struct PeerMessage {
@@ -248,6 +254,7 @@
     int64_t m_resultBytes = 0;
     std::string m_failureDomain;
     uint8_t m_reason = 0;
+    int64_t m_backlogUs = 0; ///< submit answers: until the queue has worked off what waits
     std::vector<std::pair<std::string, int32_t>> m_loads; ///< load: running requests by replica
 
     template<typename Archive>
@@ -269,6 +276,7 @@
                 m_resultBytes,
                 m_failureDomain,
                 m_reason,
+                m_backlogUs,
                 m_loads);
     }
 };
@@ -346,6 +354,9 @@
     uint64_t m_nextNumber = 1;
 
     std::map<uint64_t, Submission> m_submissions;
+    Backlogs m_backlogs;
+    std::vector<uint64_t> m_held; ///< requests whose stages have not begun
+    NetTimer m_heldTimer;
     std::map<std::string, std::unique_ptr<OwnedQueue>> m_queues; ///< by service
     std::list<PeerLink> m_peers;
 
--- a/src/gateway_peers.cpp
+++ b/src/gateway_peers.cpp
@@ -167,10 +167,15 @@
     case PeerKind::Release:
         releaseHandles(gateway, message.m_service, message.m_handles);
         return;
+    case PeerKind::Backlog:
+        noteBacklog(gateway, message.m_service, Duration(message.m_backlogUs));
+        return;
     case PeerKind::Result:
+        noteBacklog(gateway, message.m_service, Duration(message.m_backlogUs));
         handleStageResult(gateway, message.m_submission, static_cast<Reason>(message.m_reason), std::move(message.m_handles));
         return;
     case PeerKind::InputsRead:
+        noteBacklog(gateway, message.m_service, Duration(message.m_backlogUs));
         handleInputsRead(gateway, message.m_submission);
         return;
     case PeerKind::Ping: {
--- a/src/gateway_requests.cpp
+++ b/src/gateway_requests.cpp
@@ -37,6 +37,17 @@
     return headers;
 }
 
+/** One letter for each stage: waiting, submitted, done or omitted. */
+std::string describePlan(const Exchange &exchange)
+{
+    std::string text;
+    for (const PlannedStage &stage : exchange.m_plan.m_stages) {
+        const char state = stage.m_state == StageState::Waiting ? 'w' : stage.m_state == StageState::Submitted ? 's' : 'd';
+        text += stage.m_pieces == 0 ? 'o' : state;
+    }
+    return text;
+}
+
 void logEnd(Gateway &gateway, const Exchange &exchange, int status, Reason reason)
 {
     const Duration age = gatewayNow(gateway) - exchange.m_receivedAt;
@@ -49,7 +60,9 @@
               {"reason", std::string(toString(reason))},
               {"age_ms", fmt::format("{}", age.count() / 1000)},
               {"sent", fmt::format("{}", exchange.m_attempts.m_sent)},
-              {"replica", exchange.m_replica}});
+              {"replica", exchange.m_replica},
+              {"stages", describePlan(exchange)},
+              {"restarts", fmt::format("{}", exchange.m_planRestarts)}});
 }
 
 void removeExchange(Gateway &gateway, Exchange &exchange)
@@ -102,6 +115,7 @@
         exchange.m_deadline = std::min(exchange.m_deadline, now + milliseconds(*left) - CallerTransit);
     }
     exchange.m_objectiveAt = now + route.m_objective - CallerTransit;
+    exchange.m_firstEventBy = std::min(exchange.m_deadline, now + callerPatience(route) - CallerTransit);
     exchange.m_attempts.m_deadline = exchange.m_deadline;
 }
 
@@ -196,7 +210,7 @@
             handleDeadline(gateway, *late);
         }
     });
-    startStages(gateway, exchange);
+    beginStages(gateway, exchange);
 }
 
 Exchange *findExchange(Gateway &gateway, uint64_t number)
--- a/src/gateway_stages.cpp
+++ b/src/gateway_stages.cpp
@@ -8,15 +8,16 @@
 
 namespace {
 
-constexpr Duration ReleaseDelay = milliseconds(20); ///< results that are freed within it share one call
-/** A replica fetches the inputs of a call when its turn comes: a way between failure domains and back, and a few MB. */
-constexpr Duration InputsReadAfter = milliseconds(40);
+constexpr Duration RunTime = milliseconds(200); ///< from the last stage to the first event on a replica that is not full
+constexpr Duration ReleaseDelay = milliseconds(5); ///< results that are freed within it share one call
+/** A replica fetches the inputs of a call when its turn comes: handshake, request and fetch between failure domains. */
+constexpr Duration InputsReadAfter = milliseconds(70);
 constexpr size_t MaxReleases = 512; ///< handles of one call
 constexpr Duration CallSlack = milliseconds(1500); ///< a call this much over its expected time counts as lost
 constexpr int64_t CallSlackFactor = 4; ///< times the expected time, for replicas that are slow
-constexpr double QueueRepeatShare = 0.7; ///< of the common budget of a service: its queue has one owner
 
 void runQueue(Gateway &gateway, OwnedQueue &owned);
+void tellBacklog(Gateway &gateway, const std::string &service, const std::string &submitter);
 
 //-----------------------------------------------------------------------------
 // Own requests
@@ -25,7 +26,6 @@
 /** Latest start of a stage that keeps the objective, given the stages and the run that follow. */
 TimePoint dueTime(const Exchange &exchange, size_t stage)
 {
-    constexpr Duration RunTime = milliseconds(150); // from the last stage to the first event on a replica that is not full
     return exchange.m_objectiveAt - RunTime - expectedChainTime(*exchange.m_configuration, *exchange.m_route, exchange.m_plan, stage);
 }
 
@@ -43,7 +43,7 @@
     }
     task.m_rank = exchange.m_rank;
     task.m_value = exchange.m_value;
-    task.m_deadline = exchange.m_deadline;
+    task.m_deadline = exchange.m_firstEventBy;
     task.m_due = dueTime(exchange, stage);
     task.m_resultBytes = definition.m_resultBytes;
     task.m_failureDomain = homeDomain(gateway, exchange);
@@ -138,13 +138,16 @@
     if (!owned) {
         owned = std::make_unique<OwnedQueue>();
         owned->m_queue.m_service = service;
-        owned->m_queue.m_repeatAllowance = static_cast<size_t>(gateway.m_settings.m_repeatExtra * QueueRepeatShare);
-        owned->m_queue.m_repeatWindow = gateway.m_settings.m_repeatWindow;
         syncQueues(gateway);
     }
     return *owned;
 }
 
+Duration backlogOf(Gateway &gateway, const std::string &service)
+{
+    return queueBacklog(queueOf(gateway, service).m_queue, gatewayNow(gateway));
+}
+
 void reportOutcome(Gateway &gateway, const std::string &service, StageOutcome outcome)
 {
     StageTask &task = outcome.m_task;
@@ -162,6 +165,7 @@
     message.m_submission = task.m_submission;
     message.m_service = service;
     message.m_reason = static_cast<uint8_t>(outcome.m_reason);
+    message.m_backlogUs = backlogOf(gateway, service).count();
     message.m_handles = std::move(task.m_handles);
     if (!sendToPeer(gateway, task.m_submitter, message)) {
         releaseHandles(gateway, service, message.m_handles);
@@ -194,7 +198,7 @@
     std::vector<StageOutcome> outcomes;
     const TimePoint now = gatewayNow(gateway);
     for (size_t i = 0; i < call.m_items.size(); ++i) {
-        if (std::optional<StageOutcome> outcome = failPiece(owned.m_queue, call, i, failure, now)) {
+        if (std::optional<StageOutcome> outcome = failPiece(owned.m_queue, call, i, failure)) {
             outcomes.push_back(std::move(*outcome));
         }
     }
@@ -232,7 +236,7 @@
             unwanted.push_back(result.m_handle);
         }
         std::optional<StageOutcome> outcome = result.m_handle.empty()
-            ? failPiece(owned.m_queue, call, i, result.m_failure, now)
+            ? failPiece(owned.m_queue, call, i, result.m_failure)
             : completePiece(owned.m_queue, call, i, std::move(result.m_handle), now);
         if (outcome) {
             outcomes.push_back(std::move(*outcome));
@@ -271,7 +275,7 @@
         if (end == CallEnd::Done) {
             handleStageAnswer(gateway, owned, call, answerOf(ended));
         } else {
-            failCall(gateway, owned, call, end == CallEnd::NotConnected ? PieceFailure::Rejected : PieceFailure::Lost);
+            failCall(gateway, owned, call, end == CallEnd::NotConnected ? PieceFailure::NotSent : PieceFailure::Lost);
         }
         runQueue(gateway, owned);
     };
@@ -294,6 +298,8 @@
         PeerMessage message;
         message.m_kind = PeerKind::InputsRead;
         message.m_submission = task.m_submission;
+        message.m_service = owned.m_queue.m_service;
+        message.m_backlogUs = queueBacklog(owned.m_queue, gatewayNow(gateway)).count();
         sendToPeer(gateway, task.m_submitter, message);
     }
 }
@@ -306,6 +312,24 @@
     }
 }
 
+/** A submitter that adds to a long queue hears of it at once. */
+void tellBacklog(Gateway &gateway, const std::string &service, const std::string &submitter)
+{
+    const Duration backlog = backlogOf(gateway, service);
+    if (submitter == gateway.m_settings.m_node) {
+        noteBacklog(gateway, service, backlog);
+        return;
+    }
+    if (backlog <= ShortBacklog) {
+        return;
+    }
+    PeerMessage message;
+    message.m_kind = PeerKind::Backlog;
+    message.m_service = service;
+    message.m_backlogUs = backlog.count();
+    sendToPeer(gateway, submitter, message);
+}
+
 void runQueue(Gateway &gateway, OwnedQueue &owned)
 {
     const TimePoint now = gatewayNow(gateway);
@@ -339,11 +363,18 @@
                                                     + static_cast<std::ptrdiff_t>(std::min(handles.size(), start + MaxReleases)));
             UpstreamCall call;
             call.m_text = formatRequest("POST", std::string(Platform::StageFreeTarget), headers, Platform::encodeStageFree(part));
-            call.m_onEnd = [](UpstreamCall &, CallEnd) {}; // a lost release costs room until the result's lifetime ends
+            // Room counts as taken until the replica has answered; a lost release takes it until the result's lifetime ends.
+            call.m_onEnd = [&gateway, &owned, part](UpstreamCall &, CallEnd end) {
+                if (end == CallEnd::Done) {
+                    for (const std::string &handle : part) {
+                        releaseResult(owned.m_queue, handle);
+                    }
+                    runQueue(gateway, owned);
+                }
+            };
             startCall(gateway, replica, std::move(call), ConnectionUse::Kept);
         }
     }
-    runQueue(gateway, owned);
 }
 
 /** The replica that made a result, by its address, for results that no queue here knows. */
@@ -360,6 +391,101 @@
 
 } // namespace
 
+namespace {
+
+constexpr Duration HeldCheck = milliseconds(50); ///< held requests are looked at so often
+
+StartDecision decideNow(Gateway &gateway, const Exchange &exchange)
+{
+    const TimePoint now = gatewayNow(gateway);
+    StartRequest request;
+    request.m_objectiveAt = exchange.m_objectiveAt;
+    request.m_deadline = exchange.m_firstEventBy;
+    request.m_work = expectedPlanTime(*exchange.m_configuration, *exchange.m_route, exchange.m_plan) + RunTime;
+    request.m_delay = expectedDelay(*exchange.m_configuration, *exchange.m_route, exchange.m_plan, gateway.m_backlogs, now);
+    request.m_value = exchange.m_value;
+    return decideStart(request, now);
+}
+
+/** What one gateway starts all others may start too, until the owners of the queues say otherwise. */
+void assumeBacklog(Gateway &gateway, const Exchange &exchange)
+{
+    const TimePoint now = gatewayNow(gateway);
+    const auto gateways = static_cast<int64_t>(gateway.m_membership.m_members.size());
+    for (size_t stage = 0; stage < exchange.m_plan.m_stages.size(); ++stage) {
+        const std::string &name = exchange.m_route->m_stages[stage].m_service;
+        const ServingService *service = findService(*exchange.m_configuration, name);
+        const size_t replicas = gateway.m_replicasByService[name].size();
+        if (service == nullptr || !service->m_pieces || replicas == 0) {
+            continue;
+        }
+        const PieceLimits &limits = *service->m_pieces;
+        const Duration perPiece =
+            (limits.m_callTime + limits.m_pieceTime * limits.m_batch) / (limits.m_batch * static_cast<int64_t>(replicas));
+        TimePoint &clearAt = gateway.m_backlogs[name];
+        clearAt = std::max(clearAt, now) + perPiece * exchange.m_plan.m_stages[stage].m_pieces * gateways;
+    }
+}
+
+void checkHeldLater(Gateway &gateway)
+{
+    if (!gateway.m_held.empty() && !gateway.m_heldTimer.isActive()) {
+        gateway.m_heldTimer.start(gateway.m_loop, HeldCheck, [&gateway] { startHeld(gateway); });
+    }
+}
+
+} // namespace
+
+void beginStages(Gateway &gateway, Exchange &exchange)
+{
+    if (isPlanDone(exchange.m_plan)) {
+        startAttempt(gateway, exchange);
+        return;
+    }
+    switch (decideNow(gateway, exchange)) {
+    case StartDecision::Start:
+        startStages(gateway, exchange);
+        return;
+    case StartDecision::Hold:
+        gateway.m_held.push_back(exchange.m_number);
+        checkHeldLater(gateway);
+        return;
+    case StartDecision::Refuse:
+        refuseExchange(gateway, exchange, Reason::DeadlineUnreachable);
+        return;
+    }
+}
+
+void startHeld(Gateway &gateway)
+{
+    std::erase_if(gateway.m_held, [&gateway](uint64_t number) { return findExchange(gateway, number) == nullptr; });
+    std::stable_sort(gateway.m_held.begin(), gateway.m_held.end(), [&gateway](uint64_t left, uint64_t right) {
+        return findExchange(gateway, left)->m_rank < findExchange(gateway, right)->m_rank;
+    });
+    const std::vector<uint64_t> held = std::exchange(gateway.m_held, {});
+    for (const uint64_t number : held) {
+        Exchange &exchange = *findExchange(gateway, number);
+        switch (decideNow(gateway, exchange)) {
+        case StartDecision::Start:
+            assumeBacklog(gateway, exchange);
+            startStages(gateway, exchange);
+            break;
+        case StartDecision::Hold:
+            gateway.m_held.push_back(number);
+            break;
+        case StartDecision::Refuse:
+            refuseExchange(gateway, exchange, Reason::DeadlineUnreachable);
+            break;
+        }
+    }
+    checkHeldLater(gateway);
+}
+
+void noteBacklog(Gateway &gateway, const std::string &service, Duration backlog)
+{
+    gateway.m_backlogs[service] = gatewayNow(gateway) + backlog;
+}
+
 void startStages(Gateway &gateway, Exchange &exchange)
 {
     if (isPlanDone(exchange.m_plan)) {
@@ -467,6 +593,7 @@
         reportOutcome(gateway, service, {std::move(refused), Reason::QueueFull});
         return;
     }
+    tellBacklog(gateway, service, refused.m_submitter);
     // Tasks that arrive in the same turn of the loop share a call.
     owned.m_timer.start(gateway.m_loop, milliseconds(1), [&gateway, &owned] { runQueue(gateway, owned); });
 }
@@ -501,10 +628,8 @@
     }
     OwnedQueue &owned = queueOf(gateway, service);
     for (const std::string &handle : handles) {
-        std::string replica = releaseResult(owned.m_queue, handle);
-        if (replica.empty()) {
-            replica = makerOf(gateway, service, handle);
-        }
+        const auto result = owned.m_queue.m_results.find(handle);
+        const std::string replica = result == owned.m_queue.m_results.end() ? makerOf(gateway, service, handle) : result->second.m_replica;
         if (!replica.empty()) {
             owned.m_releases[replica].push_back(handle);
         }
--- a/src/serving.h
+++ b/src/serving.h
@@ -10,6 +10,7 @@
  *  [SECTION] Membership     the live gateways and who owns the queue of a service
  *  [SECTION] Plan           the stages of one request and what may begin
  *  [SECTION] Stage queue    batches of pieces for the replicas of a stage service
+ *  [SECTION] Start          whether the stages of a request begin now
  *  [SECTION] Placement      the replica for a request
  *  [SECTION] Repeats        the budget of repeats and what follows a failed attempt
  *
@@ -287,7 +288,7 @@
 std::vector<size_t> readyStages(const ServingRoute &route, const StagePlan &plan);
 /** Stages whose results have been read by all stages that follow, and that no run reads. */
 std::vector<size_t> spentStages(const ServingRoute &route, const StagePlan &plan);
-/** Expected time of a call of @p stage, with a batch half full. */
+/** Expected time of @p stage, with most of a batch full and a short wait. */
 Duration expectedStageTime(const ServingConfiguration &configuration, const ServingRoute &route, size_t stage);
 /** Expected time from the start of @p stage to the end of all stages that build on it, itself included. */
 Duration expectedChainTime(const ServingConfiguration &configuration, const ServingRoute &route, const StagePlan &plan, size_t stage);
@@ -317,7 +318,7 @@
     std::vector<std::string> m_handles; ///< results by piece number
     size_t m_done = 0;
     size_t m_started = 0; ///< pieces whose replicas have fetched their inputs
-    int m_repeats = 0; ///< pieces that were sent again
+    size_t m_repeats = 0; ///< pieces that were sent again
 };
 
 /** A call that a replica works on. */
@@ -364,11 +365,9 @@
     std::map<std::string, HeldResult> m_results; ///< by handle
     uint64_t m_nextTicket = 1;
     uint64_t m_nextCall = 1;
-    std::deque<TimePoint> m_repeats; ///< pieces sent again lately
-    size_t m_repeatAllowance = 20; ///< pieces that may be sent again in m_repeatWindow
-    Duration m_repeatWindow = seconds(10);
 };
 
+constexpr size_t MaxRepeatsPerPiece = 3; ///< of one task, on average: a piece may be produced again, but not for ever
 constexpr size_t MaxWaitingTasks = 4000; ///< of one queue; more are refused
 
 enum class PieceFailure : uint8_t {
@@ -378,6 +377,7 @@
     Error,
     Rejected, ///< the replica had no place; it has not run
     Lost, ///< no answer
+    NotSent, ///< the replica could not be reached
 };
 
 /** A task that ended: with all handles, or with a reason. */
@@ -405,15 +405,62 @@
 /** One piece of a call is done. @return the outcome when that finishes its task. */
 std::optional<StageOutcome> completePiece(StageQueue &queue, const StageCall &call, size_t item, std::string handle, TimePoint now);
 /** One piece of a call failed; it waits again, or its task ends. */
-std::optional<StageOutcome> failPiece(StageQueue &queue, const StageCall &call, size_t item, PieceFailure failure, TimePoint now);
+std::optional<StageOutcome> failPiece(StageQueue &queue, const StageCall &call, size_t item, PieceFailure failure);
 /** The call has ended, after its pieces were reported. */
 void endCall(StageQueue &queue, uint64_t call, bool failed, TimePoint now);
-/** Forgets a result. @return the replica that holds it, empty when unknown. */
-std::string releaseResult(StageQueue &queue, const std::string &handle);
+/** The replica has dropped a result: its room is free. */
+void releaseResult(StageQueue &queue, const std::string &handle);
 /** Next moment at which planCalls() or expireTasks() may have work without an event. */
 std::optional<TimePoint> nextQueueEvent(const StageQueue &queue, TimePoint now);
-/** Expected time until a task added now gets its results. */
-Duration expectedWait(const StageQueue &queue, size_t pieces, TimePoint now);
+/** Time until a queue has worked off all that waits, from now, while nothing is added. */
+Duration queueBacklog(const StageQueue &queue, TimePoint now);
+
+//-----------------------------------------------------------------------------
+// [SECTION] Start
+//-----------------------------------------------------------------------------
+
+/** When the queues of stage services will have worked off what waits, as their owners last said. */
+using Backlogs = std::map<std::string, TimePoint>;
+
+/** Longest wait that the backlogs of the stages of @p plan add to a request that starts now. */
+Duration expectedDelay(const ServingConfiguration &configuration,
+                       const ServingRoute &route,
+                       const StagePlan &plan,
+                       const Backlogs &backlogs,
+                       TimePoint now);
+
+/** Expected time of all stages of @p plan without waiting. */
+Duration expectedPlanTime(const ServingConfiguration &configuration, const ServingRoute &route, const StagePlan &plan);
+
+struct StartRequest {
+    TimePoint m_objectiveAt;
+    TimePoint m_deadline;
+    Duration m_work{}; ///< expected time of stages and run
+    Duration m_delay{}; ///< expectedDelay()
+    double m_value = 1; ///< requestValue()
+};
+
+enum class StartDecision : uint8_t {
+    Start,
+    Hold, ///< it would be late, and make others late: it starts once the queues are short
+    Refuse, ///< it can't be finished before its deadline
+};
+
+/** Patience of a caller before the first event, by the platform: the longest of these. */
+constexpr Duration MinPatience = seconds(2);
+constexpr int PatienceObjectives = 4;
+constexpr int PatienceGaps = 8;
+
+/** How long a caller waits for the first event, whatever its deadline. */
+Duration callerPatience(const ServingRoute &route);
+
+constexpr Duration ShortBacklog = milliseconds(150); ///< held requests start when queues are at most this long
+
+/**
+ * Whether to start the stages of a request. Load: bursts beyond what the stages carry. Results of early stages expire
+ * while they wait for a later one, so a request that would wait there is held before its first stage instead.
+ */
+StartDecision decideStart(const StartRequest &request, TimePoint now);
 
 //-----------------------------------------------------------------------------
 // [SECTION] Placement
--- a/src/serving_plan.cpp
+++ b/src/serving_plan.cpp
@@ -40,6 +40,7 @@
     return true;
 }
 
+constexpr Duration StageWait = milliseconds(80); ///< until a replica is free, and the ways to it and back
 constexpr double SizeGain = 0.02; ///< weight of a new request in the moving mean
 constexpr double SmallestShare = 0.3; ///< part of a request's worth that does not depend on its size
 constexpr double LargestValue = 4; ///< times the mean worth of the route
@@ -128,7 +129,7 @@
         return Duration(0);
     }
     const PieceLimits &limits = *service->m_pieces;
-    return limits.m_callTime + limits.m_pieceTime * limits.m_batch / 2;
+    return limits.m_callTime + limits.m_pieceTime * limits.m_batch * 3 / 4 + StageWait;
 }
 
 Duration expectedChainTime(const ServingConfiguration &configuration, const ServingRoute &route, const StagePlan &plan, size_t stage)
--- a/src/serving_queue.cpp
+++ b/src/serving_queue.cpp
@@ -11,6 +11,8 @@
 constexpr Duration RejectionPause = milliseconds(60); ///< a quarter of the time before a call's first piece
 constexpr Duration FailurePause = milliseconds(500); ///< doubles with each failure in a row
 constexpr int MaxPauseDoublings = 3;
+constexpr double UsableRoom = 0.85; ///< of a replica's room for results: their sizes are known approximately only
+constexpr int ProbeBatch = 2; ///< pieces for a replica that failed
 constexpr Duration SendAhead = milliseconds(20); ///< covers the way to the replica and back
 constexpr Duration DueSlack = milliseconds(50); ///< a task this late still counts as in time
 constexpr double SpeedGain = 0.2; ///< weight of a new observation
@@ -136,13 +138,18 @@
 
 int64_t roomLeft(const StageQueue &queue, const StageWorker &worker)
 {
-    return queue.m_limits.m_roomBytes > 0 ? queue.m_limits.m_roomBytes - worker.m_heldBytes : std::numeric_limits<int64_t>::max();
+    if (queue.m_limits.m_roomBytes <= 0) {
+        return std::numeric_limits<int64_t>::max();
+    }
+    const auto usable = static_cast<int64_t>(static_cast<double>(queue.m_limits.m_roomBytes) * UsableRoom);
+    return usable - worker.m_heldBytes;
 }
 
 /** Moves pieces of @p task into @p call as far as batch and room go. */
 void takePieces(const StageQueue &queue, const StageWorker &worker, StageTask &task, StageCall &call)
 {
-    const auto batch = static_cast<size_t>(queue.m_limits.m_batch);
+    // A replica that failed gets little work until it has answered, as what is lost there has to be sent again.
+    const auto batch = static_cast<size_t>(worker.m_failures > 0 ? std::min(ProbeBatch, queue.m_limits.m_batch) : queue.m_limits.m_batch);
     while (!task.m_pieces.empty() && call.m_items.size() < batch) {
         if (call.m_resultBytes + task.m_resultBytes > roomLeft(queue, worker)) {
             return;
@@ -191,18 +198,6 @@
     return workers;
 }
 
-bool takeQueueRepeat(StageQueue &queue, TimePoint now)
-{
-    while (!queue.m_repeats.empty() && queue.m_repeats.front() + queue.m_repeatWindow < now) {
-        queue.m_repeats.pop_front();
-    }
-    if (queue.m_repeats.size() >= queue.m_repeatAllowance) {
-        return false;
-    }
-    queue.m_repeats.push_back(now);
-    return true;
-}
-
 StageOutcome removeTask(StageQueue &queue, uint64_t ticket, Reason reason)
 {
     StageOutcome outcome{std::move(queue.m_tasks.at(ticket)), reason};
@@ -224,6 +219,7 @@
     case PieceFailure::Error:
         return Reason::UpstreamError;
     case PieceFailure::Lost:
+    case PieceFailure::NotSent:
         return Reason::ConnectionLost;
     }
     return Reason::InternalError;
@@ -377,7 +373,7 @@
     return removeTask(queue, piece.m_ticket, Reason::None);
 }
 
-std::optional<StageOutcome> failPiece(StageQueue &queue, const StageCall &call, size_t item, PieceFailure failure, TimePoint now)
+std::optional<StageOutcome> failPiece(StageQueue &queue, const StageCall &call, size_t item, PieceFailure failure)
 {
     const StageCall::Item &piece = call.m_items[item];
     const auto task = queue.m_tasks.find(piece.m_ticket);
@@ -385,10 +381,11 @@
         return std::nullopt;
     }
     const bool final = failure == PieceFailure::Late || failure == PieceFailure::InputGone;
-    if (final || !takeQueueRepeat(queue, now)) {
-        return removeTask(queue, piece.m_ticket, final ? reasonOf(failure) : Reason::RetryBudgetExhausted);
+    const bool arrived = failure != PieceFailure::NotSent;
+    task->second.m_repeats += arrived ? 1 : 0;
+    if (final || task->second.m_repeats > MaxRepeatsPerPiece * task->second.m_handles.size()) {
+        return removeTask(queue, piece.m_ticket, reasonOf(failure));
     }
-    task->second.m_repeats += 1;
     if (task->second.m_pieces.empty()) {
         queue.m_waiting.push_back(piece.m_ticket);
     }
@@ -426,19 +423,17 @@
     queue.m_calls.erase(open);
 }
 
-std::string releaseResult(StageQueue &queue, const std::string &handle)
+void releaseResult(StageQueue &queue, const std::string &handle)
 {
     const auto result = queue.m_results.find(handle);
     if (result == queue.m_results.end()) {
-        return {};
+        return;
     }
-    std::string replica = result->second.m_replica;
-    const auto worker = queue.m_workers.find(replica);
+    const auto worker = queue.m_workers.find(result->second.m_replica);
     if (worker != queue.m_workers.end()) {
         worker->second.m_heldBytes -= result->second.m_bytes;
     }
     queue.m_results.erase(result);
-    return replica;
 }
 
 std::optional<TimePoint> nextQueueEvent(const StageQueue &queue, TimePoint now)
@@ -466,22 +461,14 @@
     return std::max(next, now + milliseconds(1));
 }
 
-Duration expectedWait(const StageQueue &queue, size_t pieces, TimePoint now)
+Duration queueBacklog(const StageQueue &queue, TimePoint now)
 {
-    const auto usable = static_cast<size_t>(
-        std::count_if(queue.m_workers.begin(), queue.m_workers.end(), [](const auto &entry) { return entry.second.m_usable; }));
-    if (usable == 0) {
-        return queue.m_limits.m_resultLifetime;
-    }
-    Duration busy{};
-    for (const auto &[id, call] : queue.m_calls) {
-        busy += std::max(Duration(0), expectedEnd(queue, call, 1.0) - now);
+    const size_t waiting = waitingPieces(queue);
+    if (waiting == 0) {
+        return Duration(0);
     }
-    const size_t total = waitingPieces(queue) + pieces;
-    const auto batch = static_cast<size_t>(queue.m_limits.m_batch);
-    const auto calls = static_cast<int64_t>((total + batch - 1) / batch);
-    const Duration work = queue.m_limits.m_callTime * calls + queue.m_limits.m_pieceTime * static_cast<int64_t>(total);
-    return (busy + work) / static_cast<int64_t>(usable);
+    const double interval = static_cast<double>(batchInterval(queue).count()) / std::max(1, queue.m_limits.m_batch);
+    return firstFree(queue, now) - now + Duration(static_cast<int64_t>(static_cast<double>(waiting) * interval));
 }
 
 } // namespace Medlarramp
--- /dev/null
+++ b/src/serving_start.cpp
@@ -0,0 +1,79 @@
+#include <algorithm>
+
+#include "serving.h"
+
+namespace Medlarramp {
+
+namespace {
+
+constexpr double OrdinaryValue = 1; ///< requests worth this or more may use all of their slack
+constexpr double SmallestSlackShare = 0.4; ///< of requests that are worth little: the rest is left to others
+constexpr Duration FinishMargin = milliseconds(300); ///< between the last stage and the deadline
+
+/** Expected start of @p stage of a plan that starts now and waits nowhere. */
+Duration expectedStart(const ServingConfiguration &configuration, const ServingRoute &route, const StagePlan &plan, size_t stage)
+{
+    Duration latest{};
+    for (const size_t input : route.m_stages[stage].m_after) {
+        if (input < stage && plan.m_stages[input].m_pieces > 0) {
+            latest = std::max(latest, expectedStart(configuration, route, plan, input) + expectedStageTime(configuration, route, input));
+        }
+    }
+    return latest;
+}
+
+} // namespace
+
+Duration expectedDelay(const ServingConfiguration &configuration,
+                       const ServingRoute &route,
+                       const StagePlan &plan,
+                       const Backlogs &backlogs,
+                       TimePoint now)
+{
+    Duration longest{};
+    for (size_t stage = 0; stage < plan.m_stages.size(); ++stage) {
+        const auto backlog = backlogs.find(route.m_stages[stage].m_service);
+        if (plan.m_stages[stage].m_pieces == 0 || backlog == backlogs.end()) {
+            continue;
+        }
+        // The backlog of a later stage shrinks while the earlier ones work.
+        const TimePoint arrival = now + expectedStart(configuration, route, plan, stage);
+        longest = std::max(longest, backlog->second - arrival);
+    }
+    return longest;
+}
+
+Duration expectedPlanTime(const ServingConfiguration &configuration, const ServingRoute &route, const StagePlan &plan)
+{
+    Duration longest{};
+    for (size_t stage = 0; stage < plan.m_stages.size(); ++stage) {
+        if (plan.m_stages[stage].m_pieces > 0) {
+            longest = std::max(longest, expectedStart(configuration, route, plan, stage) + expectedStageTime(configuration, route, stage));
+        }
+    }
+    return longest;
+}
+
+Duration callerPatience(const ServingRoute &route)
+{
+    if (route.m_kind != RequestKind::Streaming) {
+        return route.m_timeout;
+    }
+    return std::max({MinPatience, route.m_objective * PatienceObjectives, route.m_gapObjective * PatienceGaps});
+}
+
+StartDecision decideStart(const StartRequest &request, TimePoint now)
+{
+    if (now + request.m_work + FinishMargin > request.m_deadline) {
+        return StartDecision::Refuse;
+    }
+    const Duration slack = request.m_objectiveAt - now - request.m_work;
+    if (slack <= Duration(0)) {
+        return request.m_delay <= ShortBacklog ? StartDecision::Start : StartDecision::Hold;
+    }
+    const double share = std::clamp(request.m_value / OrdinaryValue, SmallestSlackShare, 1.0);
+    const Duration usable(static_cast<int64_t>(static_cast<double>(slack.count()) * share));
+    return request.m_delay <= std::max(usable, ShortBacklog) ? StartDecision::Start : StartDecision::Hold;
+}
+
+} // namespace Medlarramp
