--- a/src/serving_queue.cpp
+++ b/src/serving_queue.cpp
@@ -11,6 +11,8 @@
 constexpr Duration RejectionPause = milliseconds(60); ///< a quarter of the time before a call's first piece
 constexpr Duration FailurePause = milliseconds(500); ///< doubles with each failure in a row
 constexpr int MaxPauseDoublings = 3;
+constexpr Duration MaxNearWait = milliseconds(200); ///< about half of a call
+constexpr Duration NearMargin = milliseconds(300); ///< left before the due time of work that waits for a replica near its reader
 constexpr double UsableRoom = 0.85; ///< of a replica's room for results: their sizes are known approximately only
 constexpr int ProbeBatch = 2; ///< pieces for a replica that failed
 constexpr Duration SendAhead = milliseconds(20); ///< covers the way to the replica and back
@@ -165,15 +167,36 @@
     return task.m_failureDomain.empty() || task.m_failureDomain == worker.m_failureDomain;
 }
 
+/** When a replica near the reader of the results gets free; nothing when there is none. */
+std::optional<TimePoint> nearFree(const StageQueue &queue, const StageTask &task, TimePoint now)
+{
+    std::optional<TimePoint> first;
+    for (const auto &[id, worker] : queue.m_workers) {
+        if (worker.m_usable && worker.m_failures == 0 && suitsDomain(task, worker)) {
+            const TimePoint free = std::max({now, worker.m_pausedUntil, lastEnd(queue, worker)});
+            first = first ? std::min(*first, free) : free;
+        }
+    }
+    return first;
+}
+
+/** Whether a task should leave a replica that is far from the reader to others, as one that is near comes in time. */
+bool waitsForNear(const StageQueue &queue, const StageTask &task, TimePoint now)
+{
+    const std::optional<TimePoint> near = nearFree(queue, task, now);
+    return near && *near - now <= MaxNearWait && *near + NearMargin <= task.m_due;
+}
+
 /** Fills a call for one replica: work whose results are read near it first, then any. */
-StageCall fillCall(StageQueue &queue, const StageWorker &worker)
+StageCall fillCall(StageQueue &queue, const StageWorker &worker, TimePoint now)
 {
     StageCall call;
     call.m_replica = worker.m_id;
     for (const bool nearOnly : {true, false}) {
         for (const uint64_t ticket : queue.m_waiting) {
             StageTask &task = queue.m_tasks.at(ticket);
-            if (!nearOnly || suitsDomain(task, worker)) {
+            const bool isNear = suitsDomain(task, worker);
+            if (nearOnly ? isNear : !isNear && !waitsForNear(queue, task, now)) {
                 takePieces(queue, worker, task, call);
             }
         }
@@ -284,7 +307,7 @@
     }
     sortWaiting(queue, now);
     for (StageWorker *worker : freeWorkers(queue, now)) {
-        StageCall call = fillCall(queue, *worker);
+        StageCall call = fillCall(queue, *worker, now);
         if (call.m_items.empty()) {
             continue;
         }
