End requests with the caller's patience; keep results at shared replicas until read

Cause: requests were held until their deadline although callers leave a stream without a first event after four objectives. Where the load header shows calls of another gateway, the turn of a call is unknown, so its inputs are kept until it ends.

--- a/src/gateway_attempts.cpp
+++ b/src/gateway_attempts.cpp
@@ -233,6 +233,7 @@
     }
     exchange.m_streaming = true;
     exchange.m_attempts.m_begun = true;
+    watchDeadline(gateway, exchange, exchange.m_deadline);
     releaseTokens(gateway, exchange);
     releaseStages(gateway, exchange, true);
     const Duration latency = gatewayNow(gateway) - exchange.m_attemptAt;
--- a/src/gateway_internal.h
+++ b/src/gateway_internal.h
@@ -169,6 +169,8 @@
 };
 
 void handleRequest(Gateway &gateway, CallerConnection &caller);
+/** Ends the request at @p deadline when it is still open then. */
+void watchDeadline(Gateway &gateway, Exchange &exchange, TimePoint deadline);
 /** The caller has gone: everything that works for its request stops. */
 void abandonExchange(Gateway &gateway, uint64_t number);
 Exchange *findExchange(Gateway &gateway, uint64_t number);
--- a/src/gateway_requests.cpp
+++ b/src/gateway_requests.cpp
@@ -142,7 +142,7 @@
     const double size = Platform::parseRequestSize(findHeader(headers, Platform::TokenCount).value_or(""));
     exchange.m_value = requestValue(gateway.m_sizes[route.m_name], exchange.m_rank, size);
     exchange.m_parts = Platform::parsePromptParts(findHeader(headers, Platform::PromptParts).value_or(""));
-    exchange.m_plan = makePlan(route, Platform::parsePieces(findHeader(headers, Platform::Pieces).value_or("")));
+    exchange.m_plan = makePlan(route, Platform::parseCounts(findHeader(headers, Platform::Pieces).value_or("")));
     if (const std::optional<int64_t> last = parseInteger(findHeader(headers, Platform::LastEventId).value_or("-"))) {
         exchange.m_lastEvent = *last;
         exchange.m_hasLastEvent = true;
@@ -204,13 +204,18 @@
     setTimes(gateway, exchange);
     prepareWork(gateway, exchange);
     countRequest(gateway.m_repeats[exchange.m_service], gateway.m_settings, exchange.m_receivedAt);
+    watchDeadline(gateway, exchange, exchange.m_firstEventBy);
+    beginStages(gateway, exchange);
+}
+
+void watchDeadline(Gateway &gateway, Exchange &exchange, TimePoint deadline)
+{
     const uint64_t number = exchange.m_number;
-    exchange.m_deadlineTimer.start(gateway.m_loop, exchange.m_deadline - exchange.m_receivedAt, [&gateway, number] {
+    exchange.m_deadlineTimer.start(gateway.m_loop, deadline - gatewayNow(gateway), [&gateway, number] {
         if (Exchange *late = findExchange(gateway, number)) {
             handleDeadline(gateway, *late);
         }
     });
-    beginStages(gateway, exchange);
 }
 
 Exchange *findExchange(Gateway &gateway, uint64_t number)
--- a/src/gateway_stages.cpp
+++ b/src/gateway_stages.cpp
@@ -227,6 +227,8 @@
         return;
     }
     const TimePoint now = gatewayNow(gateway);
+    const std::vector<int> load = Platform::parseCounts(findHeader(reader.m_headers, Platform::ReplicaLoad).value_or(""));
+    observeLoad(owned.m_queue, call, load.size() >= 2 ? load[0] + load[1] : 0, now);
     std::vector<StageOutcome> outcomes;
     std::vector<std::string> unwanted;
     for (size_t i = 0; i < results->size(); ++i) {
@@ -306,7 +308,7 @@
 
 void watchStarts(Gateway &gateway, OwnedQueue &owned)
 {
-    for (const uint64_t call : callsInTurn(owned.m_queue)) {
+    for (const uint64_t call : callsInTurn(owned.m_queue, gatewayNow(gateway))) {
         owned.m_queue.m_calls.at(call).m_working = true;
         owned.m_starts[call].start(gateway.m_loop, InputsReadAfter, [&gateway, &owned, call] { reportInputsRead(gateway, owned, call); });
     }
--- a/src/serving.h
+++ b/src/serving.h
@@ -346,6 +346,7 @@
     TimePoint m_pausedUntil; ///< after a failure or a rejection
     int m_failures = 0; ///< in a row
     double m_speed = 1; ///< observed time over expected time
+    TimePoint m_sharedUntil; ///< calls of others were seen there: the turn of a call is not known
 };
 
 /** A result that takes room at its replica. */
@@ -398,14 +399,16 @@
 std::vector<StageCall> planCalls(StageQueue &queue, TimePoint now);
 /** Tasks that can't be finished before their deadline. */
 std::vector<StageOutcome> expireTasks(StageQueue &queue, TimePoint now);
-/** A call that no other call of its replica precedes, and that was not seen at work yet. */
-std::vector<uint64_t> callsInTurn(const StageQueue &queue);
+/** Calls that no other call of their replicas precedes, and that were not seen at work yet. */
+std::vector<uint64_t> callsInTurn(const StageQueue &queue, TimePoint now);
 /** Tasks of which all pieces have fetched their inputs now that those of @p call have. */
 std::vector<StageTask> noteInputsRead(StageQueue &queue, uint64_t call);
 /** One piece of a call is done. @return the outcome when that finishes its task. */
 std::optional<StageOutcome> completePiece(StageQueue &queue, const StageCall &call, size_t item, std::string handle, TimePoint now);
 /** One piece of a call failed; it waits again, or its task ends. */
 std::optional<StageOutcome> failPiece(StageQueue &queue, const StageCall &call, size_t item, PieceFailure failure);
+/** The replica said how many calls it works on and keeps waiting, apart from the one that has just ended. */
+void observeLoad(StageQueue &queue, const StageCall &call, int calls, TimePoint now);
 /** The call has ended, after its pieces were reported. */
 void endCall(StageQueue &queue, uint64_t call, bool failed, TimePoint now);
 /** The replica has dropped a result: its room is free. */
--- a/src/serving_queue.cpp
+++ b/src/serving_queue.cpp
@@ -13,6 +13,7 @@
 constexpr int MaxPauseDoublings = 3;
 constexpr Duration MaxNearWait = milliseconds(200); ///< about half of a call
 constexpr Duration NearMargin = milliseconds(300); ///< left before the due time of work that waits for a replica near its reader
+constexpr Duration SharedMemory = seconds(2); ///< a replica counts as shared for this time after calls of others were seen
 constexpr double UsableRoom = 0.85; ///< of a replica's room for results: their sizes are known approximately only
 constexpr int ProbeBatch = 2; ///< pieces for a replica that failed
 constexpr Duration SendAhead = milliseconds(20); ///< covers the way to the replica and back
@@ -321,7 +322,7 @@
     return calls;
 }
 
-std::vector<uint64_t> callsInTurn(const StageQueue &queue)
+std::vector<uint64_t> callsInTurn(const StageQueue &queue, TimePoint now)
 {
     std::map<std::string, int> working;
     for (const auto &[id, call] : queue.m_calls) {
@@ -329,7 +330,9 @@
     }
     std::vector<uint64_t> calls;
     for (const auto &[id, call] : queue.m_calls) {
-        if (!call.m_working && working[call.m_replica] < queue.m_limits.m_slots) {
+        const auto worker = queue.m_workers.find(call.m_replica);
+        const bool isShared = worker == queue.m_workers.end() || now < worker->second.m_sharedUntil;
+        if (!call.m_working && !isShared && working[call.m_replica] < queue.m_limits.m_slots) {
             working[call.m_replica] += 1;
             calls.push_back(id);
         }
@@ -416,6 +419,14 @@
     return std::nullopt;
 }
 
+void observeLoad(StageQueue &queue, const StageCall &call, int calls, TimePoint now)
+{
+    const auto worker = queue.m_workers.find(call.m_replica);
+    if (worker != queue.m_workers.end() && calls > worker->second.m_calls - 1) {
+        worker->second.m_sharedUntil = now + SharedMemory;
+    }
+}
+
 void endCall(StageQueue &queue, uint64_t call, bool failed, TimePoint now)
 {
     const auto open = queue.m_calls.find(call);
