Tell a reset from the end of a connection

The pending error of the socket tells them apart. Ruled out: a crash of the replica (it went on accepting connections; a check by a second connection was tried and taken back).

--- a/src/net_loop.cpp
+++ b/src/net_loop.cpp
@@ -21,6 +21,18 @@
     return absl::UnavailableError(fmt::format("{}: {}", what, uv_strerror(code)));
 }
 
+/** The error that waits on the socket, as a negative number; 0 when there is none. */
+int pendingError(const uv_tcp_t &tcp)
+{
+    uv_os_fd_t descriptor = -1;
+    int error = 0;
+    socklen_t size = sizeof error;
+    if (uv_fileno(reinterpret_cast<const uv_handle_t *>(&tcp), &descriptor) != 0) {
+        return UV_EBADF;
+    }
+    return getsockopt(descriptor, SOL_SOCKET, SO_ERROR, &error, &size) == 0 ? -error : UV_EBADF;
+}
+
 } // namespace
 
 void initLoop(NetLoop &loop, Clock &clock)
@@ -217,8 +229,9 @@
         return;
     }
     if (count < 0) {
-        const CloseCause cause = count == UV_EOF ? CloseCause::End : CloseCause::Reset;
-        self->finish(cause, count == UV_EOF ? absl::OkStatus() : toStatus(static_cast<int>(count), "read"));
+        // libuv reports the end of the stream when the poll says that the peer hung up, also after a reset.
+        const int error = count == UV_EOF ? pendingError(self->m_tcp) : static_cast<int>(count);
+        self->finish(error == 0 ? CloseCause::End : CloseCause::Reset, error == 0 ? absl::OkStatus() : toStatus(error, "read"));
         return;
     }
     if (self->m_onData && !self->m_discards) {
