Test the gateway as a process among stand-ins

The store, replicas, stage replicas and callers are small servers on the test's loop; the gateway is the built program.

--- a/src/gateway_stages.cpp
+++ b/src/gateway_stages.cpp
@@ -223,6 +223,12 @@
     }
     absl::StatusOr<std::vector<Platform::PieceResult>> results = Platform::decodeStageRun(reader.m_body);
     if (!results.ok() || results->size() != call.m_items.size()) {
+        writeLog(LogLevel::Warning,
+                 "stage",
+                 "Answer to a stage call can't be used.",
+                 {{"replica", call.m_replica},
+                  {"pieces", fmt::format("{}", call.m_items.size())},
+                  {"error", results.ok() ? fmt::format("{} results", results->size()) : std::string(results.status().message())}});
         failCall(gateway, owned, call, PieceFailure::Error);
         return;
     }
--- a/src/net.h
+++ b/src/net.h
@@ -118,6 +118,8 @@
     /** Ends the connection after all queued data has been written; reads nothing more. */
     void closeAfterWrites();
     void close();
+    /** Ends the connection by a reset, so that the peer can't take it for the end of an answer. */
+    void resetConnection();
     [[nodiscard]] size_t queuedBytes() const;
     [[nodiscard]] bool isConnected() const
     {
@@ -163,6 +165,8 @@
     /** Errors: the address is in use or not local. */
     absl::Status
     listen(NetLoop &loop, const SocketAddress &address, const ConnectionOptions &options, std::function<void(NetConnection *)> onAccept);
+    /** The port listened on, also when port 0 asked for any. */
+    [[nodiscard]] int port() const;
     void close();
 
 private:
--- a/src/net_loop.cpp
+++ b/src/net_loop.cpp
@@ -334,6 +334,16 @@
     }
 }
 
+void NetConnection::resetConnection()
+{
+    uv_os_fd_t descriptor = -1;
+    if (uv_fileno(reinterpret_cast<const uv_handle_t *>(&m_tcp), &descriptor) == 0) {
+        const linger discard{1, 0};
+        setsockopt(descriptor, SOL_SOCKET, SO_LINGER, &discard, sizeof discard);
+    }
+    close();
+}
+
 void NetConnection::close()
 {
     if (m_closing) {
@@ -392,6 +402,16 @@
     return absl::OkStatus();
 }
 
+int NetListener::port() const
+{
+    sockaddr_in local{};
+    int size = sizeof local;
+    if (m_handle == nullptr || uv_tcp_getsockname(&m_handle->m_tcp, reinterpret_cast<sockaddr *>(&local), &size) != 0) {
+        return 0;
+    }
+    return ntohs(local.sin_port);
+}
+
 void NetListener::close()
 {
     if (m_handle == nullptr) {
--- /dev/null
+++ b/tests/gateway_world.h
@@ -0,0 +1,379 @@
+#pragma once
+
+/**
+ * Stand-ins around real gateway processes: the key-value service, replicas and callers, all on one loop of the test.
+ *
+ * The gateways run as processes of the built program, so that a test can also send them signals.
+ */
+
+#include <climits>
+#include <csignal>
+#include <fstream>
+#include <list>
+#include <map>
+#include <spawn.h>
+#include <string>
+#include <sys/wait.h>
+#include <unistd.h>
+#include <vector>
+
+#include <cppunit/TestAssert.h>
+#include <fmt/format.h>
+
+#include "net.h"
+
+extern char **environ; // NOLINT(readability-redundant-declaration): POSIX leaves it to the program
+
+namespace Medlarramp {
+
+constexpr Duration WorldLimit = seconds(20); ///< an event that has not come by then fails the test
+
+struct WorldRequest {
+    HttpRequest m_request;
+    NetConnection *m_net = nullptr; ///< to answer on; null once the peer has gone
+};
+
+/** An HTTP server that keeps every request and answers by a function of the test. */
+struct StandIn {
+    using Handler = std::function<void(StandIn &, const std::shared_ptr<WorldRequest> &)>;
+
+    NetLoop *m_loop = nullptr;
+    NetListener m_listener;
+    Handler m_handler;
+    std::vector<std::shared_ptr<WorldRequest>> m_requests;
+    int m_connections = 0;
+
+    void start(NetLoop &loop, Handler handler)
+    {
+        m_loop = &loop;
+        m_handler = std::move(handler);
+        const absl::Status status = m_listener.listen(loop, {"127.0.0.1", 0}, {}, [this](NetConnection *net) { accept(net); });
+        CPPUNIT_ASSERT_MESSAGE(std::string(status.message()), status.ok());
+    }
+
+    [[nodiscard]] std::string address() const
+    {
+        return fmt::format("127.0.0.1:{}", m_listener.port());
+    }
+
+    /** Requests whose target begins with @p prefix. */
+    [[nodiscard]] std::vector<std::shared_ptr<WorldRequest>> requestsFor(const std::string &prefix) const
+    {
+        std::vector<std::shared_ptr<WorldRequest>> found;
+        for (const std::shared_ptr<WorldRequest> &request : m_requests) {
+            if (request->m_request.m_target.compare(0, prefix.size(), prefix) == 0) {
+                found.push_back(request);
+            }
+        }
+        return found;
+    }
+
+private:
+    void accept(NetConnection *net)
+    {
+        m_connections += 1;
+        auto reader = std::make_shared<HttpReader>(HTTP_REQUEST, 64 * 1024, 16 * 1024 * 1024);
+        auto open = std::make_shared<std::vector<std::weak_ptr<WorldRequest>>>();
+        net->m_onData = [this, net, reader, open](std::string_view data) {
+            while (!data.empty()) {
+                data.remove_prefix(reader->feed(data));
+                if (reader->m_state != ParseState::Done) {
+                    continue;
+                }
+                auto request = std::make_shared<WorldRequest>();
+                request->m_request = {reader->m_method, reader->m_target, reader->m_headers, reader->m_body, reader->m_keepAlive};
+                request->m_net = net;
+                reader->reset();
+                open->push_back(request);
+                m_requests.push_back(request);
+                m_handler(*this, request);
+            }
+        };
+        net->m_onClose = [open](CloseCause, const absl::Status &) {
+            for (const std::weak_ptr<WorldRequest> &request : *open) {
+                if (const std::shared_ptr<WorldRequest> alive = request.lock()) {
+                    alive->m_net = nullptr;
+                }
+            }
+        };
+    }
+};
+
+inline void reply(const std::shared_ptr<WorldRequest> &request, const std::string &bytes)
+{
+    if (request->m_net != nullptr) {
+        request->m_net->write(bytes);
+    }
+}
+
+/** Headers of an answer as a replica gives them. */
+inline HttpHeaders sealed(const std::shared_ptr<WorldRequest> &request)
+{
+    const std::string id(findHeader(request->m_request.m_headers, "X-Attempt-Id").value_or(""));
+    return {{"X-Attempt-Id", id}, {"X-Replica-Seal", "seal-of-" + id}};
+}
+
+inline std::string event(int id)
+{
+    return fmt::format("id: {}\ndata: piece {}\n\n", id, id);
+}
+
+/** The key-value service: one page of items, watches that wait for changes, leases without end. */
+struct StandInStore {
+    StandIn m_server;
+    std::map<std::string, std::pair<std::string, int64_t>> m_items; ///< value and revision by key
+    int64_t m_revision = 1;
+    std::vector<std::pair<std::shared_ptr<WorldRequest>, int64_t>> m_watches;
+
+    void start(NetLoop &loop)
+    {
+        m_server.start(loop, [this](StandIn &, const std::shared_ptr<WorldRequest> &request) { answer(request); });
+    }
+
+    void put(const std::string &key, const std::string &value)
+    {
+        m_items[key] = {value, ++m_revision};
+        const auto watches = std::exchange(m_watches, {});
+        for (const auto &[request, after] : watches) {
+            answerWatch(request, after);
+        }
+    }
+
+    void putReplica(const std::string &id, const std::string &service, const std::string &address, const std::string &state = "ready")
+    {
+        put("servers/" + id,
+            nlohmann::json{{"service", service},
+                           {"address", address},
+                           {"zone", "z1"},
+                           {"version", "v1"},
+                           {"slots", 8},
+                           {"state", state},
+                           {"cold_left_ms", 0},
+                           {"sequence", 1},
+                           {"born", 1}}
+                .dump());
+    }
+
+private:
+    static std::string parameter(const std::string &target, const std::string &name)
+    {
+        const size_t start = target.find(name + "=");
+        if (start == std::string::npos) {
+            return {};
+        }
+        const size_t begin = start + name.size() + 1;
+        return target.substr(begin, target.find('&', begin) - begin);
+    }
+
+    [[nodiscard]] nlohmann::json itemsAfter(int64_t revision) const
+    {
+        nlohmann::json items = nlohmann::json::array();
+        for (const auto &[key, item] : m_items) {
+            if (item.second > revision) {
+                items.push_back(
+                    {{"key", key}, {"value", toBase64(item.first)}, {"revision", item.second}, {"created", item.second}, {"lease", 0}});
+            }
+        }
+        return items;
+    }
+
+    static void send(const std::shared_ptr<WorldRequest> &request, const nlohmann::json &body)
+    {
+        reply(request, formatAnswer(200, {{"Content-Type", "application/json"}}, body.dump(), true));
+    }
+
+    void answerWatch(const std::shared_ptr<WorldRequest> &request, int64_t after)
+    {
+        const nlohmann::json events = itemsAfter(after);
+        if (events.empty()) {
+            m_watches.emplace_back(request, after);
+            return;
+        }
+        send(request, {{"events", events}, {"as_of", m_revision}});
+    }
+
+    void answer(const std::shared_ptr<WorldRequest> &request)
+    {
+        const std::string &target = request->m_request.m_target;
+        if (target.find("/-/kv-range") == 0) {
+            send(request, {{"entries", itemsAfter(0)}, {"more_pages", false}, {"as_of", m_revision}});
+        } else if (target.find("/-/kv-watch") == 0) {
+            answerWatch(request, std::stoll(parameter(target, "after")));
+        } else if (target.find("/-/kv-txn") == 0) {
+            const nlohmann::json body = nlohmann::json::parse(request->m_request.m_body);
+            for (const nlohmann::json &write : body.at("writes")) {
+                put(write.at("key"), fromBase64(write.at("value").get<std::string>()).value_or(""));
+            }
+            send(request, {{"revision", m_revision}});
+        } else {
+            send(request, {{"lease", 7}, {"ttl_ms", 4000}});
+        }
+    }
+};
+
+/** What a caller has received on one connection. */
+struct Caller {
+    NetConnection *m_net = nullptr;
+    HttpReader m_reader{HTTP_RESPONSE, 64 * 1024, 16 * 1024 * 1024};
+    std::string m_raw;
+    bool m_closed = false;
+    bool m_reset = false;
+
+    [[nodiscard]] bool isAnswered() const
+    {
+        return m_reader.m_state == ParseState::Done;
+    }
+};
+
+class GatewayWorld
+{
+public:
+    GatewayWorld()
+    {
+        initLoop(m_loop, m_clock);
+        m_store.start(m_loop);
+    }
+
+    ~GatewayWorld()
+    {
+        for (const Process &process : m_processes) {
+            kill(process.m_pid, SIGKILL);
+            waitpid(process.m_pid, nullptr, 0);
+            unlink(process.m_settings.c_str());
+        }
+    }
+
+    GatewayWorld(const GatewayWorld &) = delete;
+    GatewayWorld &operator=(const GatewayWorld &) = delete;
+
+    struct Process {
+        pid_t m_pid = 0;
+        std::string m_settings;
+        std::string m_front;
+        std::string m_ready;
+    };
+
+    /** Starts a gateway and waits until it says that it is ready. */
+    Process &startGateway(const std::string &node, int drainMs = 8000)
+    {
+        Process process;
+        process.m_front = freeAddress();
+        process.m_ready = freeAddress();
+        process.m_settings = fmt::format("/tmp/medlarramp-test-{}-{}.json", getpid(), node);
+        std::ofstream(process.m_settings) << nlohmann::json{{"node", node},
+                                                            {"failure_domain", "z1"},
+                                                            {"front", process.m_front},
+                                                            {"readiness", process.m_ready},
+                                                            {"peers", freeAddress()},
+                                                            {"store", m_store.m_server.address()},
+                                                            {"drain_ms", drainMs},
+                                                            {"repeat_ratio", 0.2},
+                                                            {"repeat_extra", 50}};
+        const std::string program = programPath();
+        std::vector<std::string> words = {program, "gateway", "--settings", process.m_settings};
+        std::vector<char *> arguments;
+        for (std::string &word : words) {
+            arguments.push_back(word.data());
+        }
+        arguments.push_back(nullptr);
+        CPPUNIT_ASSERT_EQUAL(0, posix_spawn(&process.m_pid, program.c_str(), nullptr, nullptr, arguments.data(), environ));
+        m_processes.push_back(process);
+        waitUntilReady(m_processes.back());
+        return m_processes.back();
+    }
+
+    Caller &connectCaller(const std::string &address)
+    {
+        Caller &caller = m_callers.emplace_back();
+        caller.m_net = NetConnection::connect(m_loop, *parseSocketAddress(address), {});
+        caller.m_net->m_onData = [&caller](std::string_view data) {
+            caller.m_raw += data;
+            caller.m_reader.feed(data);
+        };
+        caller.m_net->m_onClose = [&caller](CloseCause cause, const absl::Status &) {
+            caller.m_closed = true;
+            caller.m_reset = cause == CloseCause::Reset;
+            caller.m_net = nullptr;
+        };
+        return caller;
+    }
+
+    /** Sends a request of the test route on a new connection. */
+    Caller &
+    send(const Process &gateway, const std::string &method, const std::string &target, const std::string &id, HttpHeaders extra = {})
+    {
+        Caller &caller = connectCaller(gateway.m_front);
+        sendOn(caller, method, target, id, std::move(extra));
+        return caller;
+    }
+
+    static void sendOn(Caller &caller, const std::string &method, const std::string &target, const std::string &id, HttpHeaders extra = {})
+    {
+        HttpHeaders headers = {{"Host", "h.example"}, {"X-Attempt-Id", id}};
+        headers.insert(headers.end(), extra.begin(), extra.end());
+        if (!findHeader(headers, "X-Deadline-Ms")) {
+            headers.push_back({"X-Deadline-Ms", "9000"});
+        }
+        caller.m_reader.reset();
+        caller.m_net->write(formatRequest(method, target, headers, method == "POST" ? "body" : ""));
+    }
+
+    /** Runs the loop until @p condition holds; fails the test after WorldLimit. */
+    void runUntil(const std::string &what, const std::function<bool()> &condition)
+    {
+        const TimePoint limit = now(m_clock) + WorldLimit;
+        while (!condition()) {
+            CPPUNIT_ASSERT_MESSAGE("did not happen: " + what, now(m_clock) < limit);
+            NetTimer wake;
+            wake.start(m_loop, milliseconds(5), [] {});
+            uv_run(&m_loop.m_loop, UV_RUN_ONCE);
+        }
+    }
+
+    /** Lets real time pass while the stand-ins answer. */
+    void runFor(Duration duration)
+    {
+        const TimePoint end = now(m_clock) + duration;
+        runUntil("end of a pause", [&] { return now(m_clock) >= end; });
+    }
+
+    NetLoop m_loop;
+    Clock m_clock;
+    StandInStore m_store;
+
+private:
+    static std::string programPath()
+    {
+        std::array<char, PATH_MAX> self{};
+        const ssize_t length = readlink("/proc/self/exe", self.data(), self.size() - 1);
+        const std::string path(self.data(), length > 0 ? static_cast<size_t>(length) : 0);
+        return path.substr(0, path.rfind('/')) + "/medlarramp";
+    }
+
+    std::string freeAddress()
+    {
+        NetListener probe;
+        CPPUNIT_ASSERT(probe.listen(m_loop, {"127.0.0.1", 0}, {}, [](NetConnection *net) { net->close(); }).ok());
+        return fmt::format("127.0.0.1:{}", probe.port());
+    }
+
+    void waitUntilReady(const Process &process)
+    {
+        bool ready = false;
+        runUntil("readiness of the gateway", [&] {
+            if (m_callers.empty() || m_callers.back().m_closed || m_callers.back().isAnswered()) {
+                ready = !m_callers.empty() && m_callers.back().isAnswered() && m_callers.back().m_reader.m_status == 200;
+                if (!ready) {
+                    Caller &probe = connectCaller(process.m_ready);
+                    probe.m_net->write(formatRequest("GET", "/-/readyz", {{"Host", "r"}}, ""));
+                }
+            }
+            return ready;
+        });
+    }
+
+    std::list<Process> m_processes;
+    std::list<Caller> m_callers;
+};
+
+} // namespace Medlarramp
