Give the gateway's libraries a namespace of their own; test decisions and decoders

Cause: cluster.h and serving.h both defined Member and Membership in one namespace, as did other pairs, so that the linker kept one destructor for two types; the new tests crashed in it. The gateway's types are now in Medlarramp::Serving.

A header name with white space before its colon is rejected: http_parser takes it for a name of its own, so that a Content-Length in it was not seen (found by the new test).

--- a/src/gateway.h
+++ b/src/gateway.h
@@ -16,7 +16,7 @@
 
 #include "serving.h"
 
-namespace Medlarramp {
+namespace Medlarramp::Serving {
 
 //-----------------------------------------------------------------------------
 // [SECTION] Process
@@ -28,4 +28,4 @@
  */
 absl::Status runGateway(const GatewaySettings &settings, const std::string &settingsPath, Clock &clock);
 
-} // namespace Medlarramp
+} // namespace Medlarramp::Serving
--- a/src/gateway_attempts.cpp
+++ b/src/gateway_attempts.cpp
@@ -5,7 +5,7 @@
 
 #include "gateway_internal.h"
 
-namespace Medlarramp {
+namespace Medlarramp::Serving {
 
 namespace {
 
@@ -523,4 +523,4 @@
     }
 }
 
-} // namespace Medlarramp
+} // namespace Medlarramp::Serving
--- a/src/gateway_callers.cpp
+++ b/src/gateway_callers.cpp
@@ -2,7 +2,7 @@
 
 #include "gateway_internal.h"
 
-namespace Medlarramp {
+namespace Medlarramp::Serving {
 
 namespace {
 
@@ -190,4 +190,4 @@
     gateway.m_callers.erase(caller.m_self);
 }
 
-} // namespace Medlarramp
+} // namespace Medlarramp::Serving
--- a/src/gateway_internal.h
+++ b/src/gateway_internal.h
@@ -22,7 +22,7 @@
 #include "platform/platform.h"
 #include "serving.h"
 
-namespace Medlarramp {
+namespace Medlarramp::Serving {
 
 struct Gateway;
 struct Exchange;
@@ -380,4 +380,4 @@
 
 void countReason(std::array<uint64_t, static_cast<size_t>(Reason::Count)> &counts, Reason reason);
 
-} // namespace Medlarramp
+} // namespace Medlarramp::Serving
--- a/src/gateway_peers.cpp
+++ b/src/gateway_peers.cpp
@@ -10,7 +10,7 @@
 
 #include "gateway_internal.h"
 
-namespace Medlarramp {
+namespace Medlarramp::Serving {
 
 namespace {
 
@@ -281,4 +281,4 @@
     }
 }
 
-} // namespace Medlarramp
+} // namespace Medlarramp::Serving
--- a/src/gateway_requests.cpp
+++ b/src/gateway_requests.cpp
@@ -5,7 +5,7 @@
 
 #include "gateway_internal.h"
 
-namespace Medlarramp {
+namespace Medlarramp::Serving {
 
 namespace {
 
@@ -271,4 +271,4 @@
     breakOff(gateway, caller);
 }
 
-} // namespace Medlarramp
+} // namespace Medlarramp::Serving
--- a/src/gateway_run.cpp
+++ b/src/gateway_run.cpp
@@ -10,7 +10,7 @@
 
 #include "gateway_internal.h"
 
-namespace Medlarramp {
+namespace Medlarramp::Serving {
 
 namespace {
 
@@ -222,4 +222,4 @@
     return absl::OkStatus();
 }
 
-} // namespace Medlarramp
+} // namespace Medlarramp::Serving
--- a/src/gateway_stages.cpp
+++ b/src/gateway_stages.cpp
@@ -4,7 +4,7 @@
 
 #include "gateway_internal.h"
 
-namespace Medlarramp {
+namespace Medlarramp::Serving {
 
 namespace {
 
@@ -701,4 +701,4 @@
         gateway.m_queues.begin(), gateway.m_queues.end(), [](const auto &entry) { return !entry.second->m_queue.m_tasks.empty(); });
 }
 
-} // namespace Medlarramp
+} // namespace Medlarramp::Serving
--- a/src/gateway_store.cpp
+++ b/src/gateway_store.cpp
@@ -4,7 +4,7 @@
 
 #include "gateway_internal.h"
 
-namespace Medlarramp {
+namespace Medlarramp::Serving {
 
 /** One call to the store on a connection of its own; connections are kept between calls of one kind. */
 struct StoreCall {
@@ -451,4 +451,4 @@
               [](int, const std::string &) {});
 }
 
-} // namespace Medlarramp
+} // namespace Medlarramp::Serving
--- a/src/gateway_upstreams.cpp
+++ b/src/gateway_upstreams.cpp
@@ -5,7 +5,7 @@
 
 #include "gateway_internal.h"
 
-namespace Medlarramp {
+namespace Medlarramp::Serving {
 
 namespace {
 
@@ -317,4 +317,4 @@
     }
 }
 
-} // namespace Medlarramp
+} // namespace Medlarramp::Serving
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -134,14 +134,14 @@
     }
     Findings findings;
     const std::optional<nlohmann::json> value = readJsonFile(path, findings);
-    const GatewaySettings settings = value ? parseGatewaySettings(*value, path, findings) : GatewaySettings();
+    const Serving::GatewaySettings settings = value ? Serving::parseGatewaySettings(*value, path, findings) : Serving::GatewaySettings();
     if (!findings.empty()) {
         printFindings(findings, false);
         return ExitUsage;
     }
     setLogLevel(settings.m_logLevel);
     Clock clock;
-    if (const absl::Status status = runGateway(settings, path, clock); !status.ok()) {
+    if (const absl::Status status = Serving::runGateway(settings, path, clock); !status.ok()) {
         writeLog(LogLevel::Error, "main", "Start failed.", {{"error", std::string(status.message())}});
         return ExitRefused;
     }
--- a/src/net.h
+++ b/src/net.h
@@ -29,7 +29,7 @@
 
 #include "core.h"
 
-namespace Medlarramp {
+namespace Medlarramp::Serving {
 
 //-----------------------------------------------------------------------------
 // [SECTION] Loop
@@ -277,4 +277,4 @@
     bool m_lastWasValue = true;
 };
 
-} // namespace Medlarramp
+} // namespace Medlarramp::Serving
--- a/src/net_http.cpp
+++ b/src/net_http.cpp
@@ -7,7 +7,7 @@
 
 #include "net.h"
 
-namespace Medlarramp {
+namespace Medlarramp::Serving {
 
 namespace {
 
@@ -43,6 +43,13 @@
     return fmt::format("HTTP/1.1 {} {}\r\n", status, http_status_str(static_cast<http_status>(status)));
 }
 
+/** RFC 9112, 5.1: white space between a name and its colon would be read as another header by others. */
+bool hasBrokenName(const HttpHeaders &headers)
+{
+    return std::any_of(
+        headers.begin(), headers.end(), [](const HttpHeader &header) { return header.m_name.find_first_of(" \t") != std::string::npos; });
+}
+
 bool mayOmitBody(const std::string &method)
 {
     return method == "GET" || method == "HEAD" || method == "DELETE" || method == "OPTIONS";
@@ -244,6 +251,10 @@
 int HttpReader::onHeadersComplete(http_parser *parser)
 {
     HttpReader &self = readerOf(parser);
+    if (hasBrokenName(self.m_headers)) {
+        self.m_state = ParseState::Failed;
+        return -1;
+    }
     self.m_state = ParseState::Body;
     self.m_status = parser->status_code;
     self.m_keepAlive = http_should_keep_alive(parser) != 0;
@@ -281,4 +292,4 @@
     return 0;
 }
 
-} // namespace Medlarramp
+} // namespace Medlarramp::Serving
--- a/src/net_loop.cpp
+++ b/src/net_loop.cpp
@@ -8,7 +8,7 @@
 
 #include "net.h"
 
-namespace Medlarramp {
+namespace Medlarramp::Serving {
 
 namespace {
 
@@ -421,4 +421,4 @@
     m_handle = nullptr;
 }
 
-} // namespace Medlarramp
+} // namespace Medlarramp::Serving
--- a/src/serving.h
+++ b/src/serving.h
@@ -30,7 +30,7 @@
 
 #include "core.h"
 
-namespace Medlarramp {
+namespace Medlarramp::Serving {
 
 //-----------------------------------------------------------------------------
 // [SECTION] Settings
@@ -558,4 +558,4 @@
 /** What follows a failed attempt. @p budgetLeft is asked only when a repeat is otherwise allowed. */
 NextStep decideNext(const AttemptState &state, AttemptEnd end, TimePoint now, const std::function<bool()> &budgetLeft);
 
-} // namespace Medlarramp
+} // namespace Medlarramp::Serving
--- a/src/serving_configuration.cpp
+++ b/src/serving_configuration.cpp
@@ -3,7 +3,7 @@
 
 #include "serving.h"
 
-namespace Medlarramp {
+namespace Medlarramp::Serving {
 
 namespace {
 
@@ -111,4 +111,4 @@
     return current == nullptr || candidate.m_version > current->m_version;
 }
 
-} // namespace Medlarramp
+} // namespace Medlarramp::Serving
--- a/src/serving_placement.cpp
+++ b/src/serving_placement.cpp
@@ -3,7 +3,7 @@
 
 #include "serving.h"
 
-namespace Medlarramp {
+namespace Medlarramp::Serving {
 
 namespace {
 
@@ -120,4 +120,4 @@
     return chosen;
 }
 
-} // namespace Medlarramp
+} // namespace Medlarramp::Serving
--- a/src/serving_plan.cpp
+++ b/src/serving_plan.cpp
@@ -2,7 +2,7 @@
 
 #include "serving.h"
 
-namespace Medlarramp {
+namespace Medlarramp::Serving {
 
 namespace {
 
@@ -158,4 +158,4 @@
     return std::max(Duration(0), longest - expectedStageTime(configuration, route, stage));
 }
 
-} // namespace Medlarramp
+} // namespace Medlarramp::Serving
--- a/src/serving_queue.cpp
+++ b/src/serving_queue.cpp
@@ -4,7 +4,7 @@
 
 #include "serving.h"
 
-namespace Medlarramp {
+namespace Medlarramp::Serving {
 
 namespace {
 
@@ -505,4 +505,4 @@
     return firstFree(queue, now) - now + Duration(static_cast<int64_t>(static_cast<double>(waiting) * interval));
 }
 
-} // namespace Medlarramp
+} // namespace Medlarramp::Serving
--- a/src/serving_registry.cpp
+++ b/src/serving_registry.cpp
@@ -5,7 +5,7 @@
 
 #include "serving.h"
 
-namespace Medlarramp {
+namespace Medlarramp::Serving {
 
 namespace {
 
@@ -151,4 +151,4 @@
     return most;
 }
 
-} // namespace Medlarramp
+} // namespace Medlarramp::Serving
--- a/src/serving_repeats.cpp
+++ b/src/serving_repeats.cpp
@@ -3,7 +3,7 @@
 
 #include "serving.h"
 
-namespace Medlarramp {
+namespace Medlarramp::Serving {
 
 namespace {
 
@@ -87,4 +87,4 @@
     return NextStep::Retry;
 }
 
-} // namespace Medlarramp
+} // namespace Medlarramp::Serving
--- a/src/serving_start.cpp
+++ b/src/serving_start.cpp
@@ -2,7 +2,7 @@
 
 #include "serving.h"
 
-namespace Medlarramp {
+namespace Medlarramp::Serving {
 
 namespace {
 
@@ -76,4 +76,4 @@
     return request.m_delay <= std::max(usable, ShortBacklog) ? StartDecision::Start : StartDecision::Hold;
 }
 
-} // namespace Medlarramp
+} // namespace Medlarramp::Serving
--- a/tests/gateway_world.h
+++ b/tests/gateway_world.h
@@ -24,7 +24,7 @@
 
 extern char **environ; // NOLINT(readability-redundant-declaration): POSIX leaves it to the program
 
-namespace Medlarramp {
+namespace Medlarramp::Serving {
 
 constexpr Duration WorldLimit = seconds(20); ///< an event that has not come by then fails the test
 
@@ -376,4 +376,4 @@
     std::list<Caller> m_callers;
 };
 
-} // namespace Medlarramp
+} // namespace Medlarramp::Serving
--- a/tests/test_gateway.cpp
+++ b/tests/test_gateway.cpp
@@ -3,6 +3,7 @@
 #include "gateway_world.h"
 
 using namespace Medlarramp;
+using namespace Medlarramp::Serving;
 
 namespace {
 
--- /dev/null
+++ b/tests/test_platform.cpp
@@ -0,0 +1,197 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "platform/platform.h"
+
+using namespace Medlarramp;
+using namespace Medlarramp::Serving;
+
+class PlatformTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(PlatformTest);
+    CPPUNIT_TEST(decodesConfiguration);
+    CPPUNIT_TEST(rejectsBrokenConfiguration);
+    CPPUNIT_TEST(decodesRegistration);
+    CPPUNIT_TEST(rejectsBrokenRegistrations);
+    CPPUNIT_TEST(decodesStoreItems);
+    CPPUNIT_TEST(stageCallsSurviveText);
+    CPPUNIT_TEST(promptPartsAndPieces);
+    CPPUNIT_TEST(randomBytesAreNoInput);
+    CPPUNIT_TEST(requestParserRejectsAmbiguousFraming);
+    CPPUNIT_TEST(requestParserKeepsLimits);
+    CPPUNIT_TEST_SUITE_END();
+
+    static constexpr const char *Configuration = R"({"version":7,"routes":[
+        {"name":"r1","host":"h","prefix":"/a/","kind":"streaming","timeout_ms":15000,"target_latency_ms":2000,"priority":1,
+         "traffic_split":[{"service":"s","weight":90},{"service":"t","weight":10}],"max_attempts":1,
+         "stages":[{"service":"p","after":[],"length":800000},{"service":"p","after":[0],"length":10}],
+         "anonymous":false,"sticky":true,"resumable":true,"target_gap_ms":600},
+        {"name":"r2","host":"h","prefix":"/b/","kind":"brand-new","timeout_ms":100,"service":"s"}],
+        "services":[{"name":"s","max_connections":280,"engine":{"slots":64,"kv_capacity":5}},
+                    {"name":"p","max_connections":28,"pieces":{"slots":1,"queue":2,"batch":8,"call_ms":240.0,"item_ms":26.5,"headroom_mb":9.6,"handle_ttl_s":4.0}}],
+        "limits":{"max_header_bytes":100,"max_body_bytes":200,"header_timeout_ms":3000,"idle_timeout_ms":15000},
+        "tenants":[{"name":"o1","api_keys":["k1","k2"],"priority":3}]})";
+
+    // Guards against fields that are read from another place or in another unit.
+    void decodesConfiguration()
+    {
+        const absl::StatusOr<ServingConfiguration> decoded = Platform::decodeConfiguration(Configuration);
+        CPPUNIT_ASSERT_MESSAGE(std::string(decoded.status().message()), decoded.ok());
+        CPPUNIT_ASSERT_EQUAL(int64_t(7), decoded->m_version);
+        const ServingRoute &route = decoded->m_routes[0];
+        CPPUNIT_ASSERT(route.m_kind == RequestKind::Streaming && route.m_resumable && route.m_usesEngine && !route.m_anonymous);
+        CPPUNIT_ASSERT(route.m_timeout == seconds(15) && route.m_objective == seconds(2) && route.m_gapObjective == milliseconds(600));
+        CPPUNIT_ASSERT_EQUAL(size_t(2), route.m_services.size());
+        CPPUNIT_ASSERT(route.m_stages[1].m_after == std::vector<size_t>{0});
+        // A kind that is not known allows no repeat.
+        CPPUNIT_ASSERT(decoded->m_routes[1].m_kind == RequestKind::NonIdempotent);
+        const PieceLimits &pieces = *decoded->m_services.at("p").m_pieces;
+        CPPUNIT_ASSERT(pieces.m_callTime == milliseconds(240) && pieces.m_pieceTime == Duration(26'500));
+        CPPUNIT_ASSERT_EQUAL(int64_t(9'600'000), pieces.m_roomBytes);
+        CPPUNIT_ASSERT_EQUAL(size_t(2), decoded->m_keys.size());
+        CPPUNIT_ASSERT(rankOf(*decoded, route, decoded->m_keys.at("k2")) == 3 && rankOf(*decoded, route, std::nullopt) == 1);
+        CPPUNIT_ASSERT_EQUAL(size_t(200), decoded->m_limits.m_bodyBytes);
+    }
+
+    // Guards against a half-read configuration that takes force.
+    void rejectsBrokenConfiguration()
+    {
+        const std::string text = Configuration;
+        CPPUNIT_ASSERT(!Platform::decodeConfiguration("").ok());
+        CPPUNIT_ASSERT(!Platform::decodeConfiguration("[]").ok());
+        CPPUNIT_ASSERT(!Platform::decodeConfiguration(R"({"version":"x","routes":[],"services":[]})").ok());
+        for (size_t length = 0; length < text.size(); length += 37) {
+            CPPUNIT_ASSERT(!Platform::decodeConfiguration(text.substr(0, length)).ok());
+        }
+    }
+
+    // Guards against a replica's state or incarnation that is lost on the way.
+    void decodesRegistration()
+    {
+        const absl::StatusOr<ReplicaRecord> record = Platform::decodeRegistration(
+            "i-1",
+            R"({"service":"s","address":"10.0.0.9:8080","zone":"z1","version":"v1","slots":64,"state":"draining","cold_left_ms":250,"sequence":4,"born":1700000000000})");
+        CPPUNIT_ASSERT(record.ok());
+        CPPUNIT_ASSERT(record->m_id == "i-1" && record->m_draining && record->m_failureDomain == "z1" && record->m_slots == 64);
+        CPPUNIT_ASSERT(record->m_coldLeft == milliseconds(250) && record->m_born == 1'700'000'000'000);
+    }
+
+    // Guards against entries of another writer that name a replica to use.
+    void rejectsBrokenRegistrations()
+    {
+        for (const char *text : {
+                 "",
+                 "null",
+                 R"({"service":"s","address":"10.0.0.9:8080","zone":"z1","slots":64})",
+                 R"({"service":"s","address":"10.0.0.9:8080","zone":"z1","slots":64,"state":"leaving"})",
+                 R"({"service":"s","address":"host:8080","zone":"z1","slots":64,"state":"ready"})",
+                 R"({"service":"s","address":"10.0.0.9:99999","zone":"z1","slots":64,"state":"ready"})",
+                 R"({"service":["s"],"address":"10.0.0.9:8080","zone":"z1","slots":64,"state":"ready"})",
+                 R"({"service":"s","address":"10.0.0.9:8080","zone":"z1","slots":"64","state":"ready"})",
+                 R"({"service":"s","address":"10.0.0.9:8080","zone":"z1","slots":64,"state":"ready","born":1.5})",
+             }) {
+            CPPUNIT_ASSERT_MESSAGE(text, !Platform::decodeRegistration("i-1", text).ok());
+        }
+    }
+
+    // Guards against watches that go on at the wrong revision.
+    void decodesStoreItems()
+    {
+        const absl::StatusOr<Platform::StoreItems> events = Platform::decodeItems(
+            R"({"events":[{"key":"a","value":"bm9kZS0x","revision":412,"created":412,"lease":0},{"key":"b","revision":413,"tombstone":true}],"as_of":413})");
+        CPPUNIT_ASSERT(events.ok());
+        CPPUNIT_ASSERT_EQUAL(int64_t(413), events->m_asOf);
+        CPPUNIT_ASSERT_EQUAL(std::string("node-1"), events->m_items[0].m_value);
+        CPPUNIT_ASSERT(!events->m_items[0].m_removed && events->m_items[1].m_removed);
+        CPPUNIT_ASSERT(!Platform::decodeItems(R"({"entries":[{"key":"a","value":"***"}],"as_of":1})").ok());
+        CPPUNIT_ASSERT(!Platform::decodeItems(R"({"entries":[]})").ok());
+    }
+
+    // Guards against results that are given to another piece: they come in the order of the request.
+    void stageCallsSurviveText()
+    {
+        const std::vector<std::string> inputs = {"10.0.0.1:1/ab", "10.0.0.2:2/cd"};
+        const std::string text =
+            Platform::encodeStageRun({{"id\"1", 0, 2, milliseconds(900), "key", nullptr}, {"id2", 2, 0, milliseconds(10), "", &inputs}});
+        const nlohmann::json value = nlohmann::json::parse(text);
+        CPPUNIT_ASSERT(value.at("entries")[0]
+                       == nlohmann::json({{"id", "id\"1"}, {"stage", 0}, {"piece", 2}, {"remaining_ms", 900}, {"key", "key"}}));
+        CPPUNIT_ASSERT(value.at("entries")[1].at("inputs") == nlohmann::json(inputs));
+        const auto results = Platform::decodeStageRun(
+            R"({"entries":[{"handle":"h1"},{"reason":"gone"},{"reason":"room"},{"reason":"late"},{"reason":"?"}]})");
+        CPPUNIT_ASSERT(results.ok() && results->size() == 5);
+        CPPUNIT_ASSERT((*results)[0].m_handle == "h1");
+        CPPUNIT_ASSERT((*results)[1].m_failure == PieceFailure::InputGone && (*results)[2].m_failure == PieceFailure::NoRoom);
+        CPPUNIT_ASSERT((*results)[3].m_failure == PieceFailure::Late && (*results)[4].m_failure == PieceFailure::Error);
+        CPPUNIT_ASSERT(Platform::resultAddress("10.0.0.1:80/ab") == (SocketAddress{"10.0.0.1", 80}));
+    }
+
+    // Guards against prompts placed by a wrong part.
+    void promptPartsAndPieces()
+    {
+        const std::vector<PromptPart> parts = Platform::parsePromptParts("5c1e07a2:800,91bd3f06:410, e4402b7d:250,broken");
+        CPPUNIT_ASSERT_EQUAL(size_t(3), parts.size());
+        CPPUNIT_ASSERT((parts[2] == PromptPart{0xe4402b7d, 250}));
+        CPPUNIT_ASSERT((Platform::parseCounts("3,0,x,8") == std::vector<int>{3, 0, 0, 8}));
+        CPPUNIT_ASSERT_EQUAL(2260.0, Platform::parseRequestSize("1460,80"));
+        CPPUNIT_ASSERT_EQUAL(0.0, Platform::parseRequestSize(""));
+    }
+
+    // Guards against input from outside that throws or crashes. Seeded, so that each run sees the same bytes.
+    void randomBytesAreNoInput()
+    {
+        Random random{42};
+        const std::string base = Configuration;
+        for (int i = 0; i < 3000; ++i) {
+            std::string text = base;
+            for (int change = 0; change < 3; ++change) {
+                text[uniformBelow(random, text.size())] = static_cast<char>(uniformBelow(random, 256));
+            }
+            (void)Platform::decodeConfiguration(text);
+            (void)Platform::decodeRegistration("i", text.substr(uniformBelow(random, 200)));
+            (void)Platform::decodeItems(text);
+            (void)Platform::decodeStageRun(text);
+            (void)Platform::decodeMember(text);
+            (void)Platform::parsePromptParts(text);
+            HttpReader request(HTTP_REQUEST, 4096, 4096);
+            request.feed("POST /" + text.substr(0, 30) + " HTTP/1.1\r\n" + text);
+            HttpReader answer(HTTP_RESPONSE, 4096, 4096);
+            answer.feed("HTTP/1.1 200 OK\r\n" + text);
+            answer.feedEnd();
+        }
+    }
+
+    static ParseState stateOf(const std::string &text)
+    {
+        HttpReader reader(HTTP_REQUEST, 1000, 100);
+        reader.feed(text);
+        return reader.m_state;
+    }
+
+    // Guards against a request smuggled inside another by two readings of its length.
+    void requestParserRejectsAmbiguousFraming()
+    {
+        const std::string start = "POST /a/ HTTP/1.1\r\nHost: h\r\n";
+        CPPUNIT_ASSERT(stateOf(start + "Content-Length: 3\r\n\r\nabc") == ParseState::Done);
+        CPPUNIT_ASSERT(stateOf(start + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n") == ParseState::Failed);
+        CPPUNIT_ASSERT(stateOf(start + "Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd") == ParseState::Failed);
+        CPPUNIT_ASSERT(stateOf(start + "Content-Length: -3\r\n\r\nabc") == ParseState::Failed);
+        CPPUNIT_ASSERT(stateOf(start + "Content-Length : 3\r\n\r\nabc") == ParseState::Failed);
+        CPPUNIT_ASSERT(stateOf(start + "Transfer-Encoding: chunked\r\n\r\nzz\r\n") == ParseState::Failed);
+        HttpReader reader(HTTP_REQUEST, 1000, 100);
+        const std::string two = start + "Content-Length: 3\r\n\r\nabcGET /next HTTP/1.1\r\n\r\n";
+        CPPUNIT_ASSERT_EQUAL(two.find("GET /next"), reader.feed(two));
+        CPPUNIT_ASSERT_EQUAL(std::string("abc"), reader.m_body);
+    }
+
+    // Guards against heads and bodies that grow without bound.
+    void requestParserKeepsLimits()
+    {
+        CPPUNIT_ASSERT(stateOf("GET /" + std::string(2000, 'x')) == ParseState::HeadTooLarge);
+        CPPUNIT_ASSERT(stateOf("GET / HTTP/1.1\r\nA: " + std::string(2000, 'x')) == ParseState::HeadTooLarge);
+        CPPUNIT_ASSERT(stateOf("POST / HTTP/1.1\r\nContent-Length: 101\r\n\r\n") == ParseState::BodyTooLarge);
+        CPPUNIT_ASSERT(stateOf("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n80\r\n" + std::string(128, 'x'))
+                       == ParseState::BodyTooLarge);
+    }
+};
+
+CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(PlatformTest, "platform");
