Ask the watch at most twice a second

Changes within 500 ms now share a call; a configuration still takes force well inside its two seconds.

--- a/src/gateway_store.cpp
+++ b/src/gateway_store.cpp
@@ -23,7 +23,7 @@
 constexpr Duration CallTimeout = milliseconds(2000); ///< the store answers in milliseconds
 constexpr Duration WatchWait = seconds(15); ///< each call is priced; silence is found by keep-alive probes before
 constexpr Duration WatchSlack = seconds(3);
-constexpr Duration WatchPause = milliseconds(200); ///< changes that come together share one call
+constexpr Duration WatchPause = milliseconds(500); ///< changes that come together share one call
 constexpr Duration StoreSilence = milliseconds(3000); ///< keep-alive probes count whole seconds
 constexpr Duration RetryBase = milliseconds(150); ///< doubles with each failure in a row
 constexpr Duration RetryMax = milliseconds(1200); ///< an outage's end is noticed within it
