--- a/src/gateway_requests.cpp
+++ b/src/gateway_requests.cpp
@@ -73,7 +73,7 @@
 }
 
 /** Ends with an answer of the gateway's own. */
-void answerOwn(Gateway &gateway, Exchange &exchange, int status, HttpHeaders headers, Reason reason)
+void answerOwn(Gateway &gateway, Exchange &exchange, int status, const HttpHeaders &headers, Reason reason)
 {
     if (exchange.m_streaming) {
         // A head and events are with the caller: another answer in their place would end the stream as if complete.
@@ -238,7 +238,7 @@
     const double spread = 1 + uniformReal(gateway.m_random);
     const double retryAfter = spread * static_cast<double>(DefaultRetryAfter.count()) / 1e6;
     headers.push_back({std::string(Platform::RetryAfter), fmt::format("{:.2f}", retryAfter)});
-    answerOwn(gateway, exchange, HTTP_STATUS_SERVICE_UNAVAILABLE, std::move(headers), reason);
+    answerOwn(gateway, exchange, HTTP_STATUS_SERVICE_UNAVAILABLE, headers, reason);
 }
 
 void failExchange(Gateway &gateway, Exchange &exchange, int status, Reason reason)
--- a/src/gateway_store.cpp
+++ b/src/gateway_store.cpp
@@ -31,7 +31,7 @@
 constexpr Duration LeaseTime = seconds(4); ///< a member that dies is listed for so long at most
 constexpr Duration LeaseRenewal = milliseconds(1300); ///< two renewals may be lost
 
-void readPage(Gateway &gateway, std::string after);
+void readPage(Gateway &gateway, const std::string &after);
 void watch(Gateway &gateway);
 void renewLease(Gateway &gateway);
 
@@ -277,7 +277,7 @@
     gateway.m_store.m_watchTimer.start(gateway.m_loop, retryDelay(gateway), [&gateway] { startListing(gateway); });
 }
 
-void readPage(Gateway &gateway, std::string after)
+void readPage(Gateway &gateway, const std::string &after)
 {
     const std::string target = Platform::formatRangeTarget("", after);
     callStore(gateway, *gateway.m_store.m_watchCall, "GET", target, "", CallTimeout, [&gateway](int status, const std::string &body) {
--- a/src/serving_queue.cpp
+++ b/src/serving_queue.cpp
@@ -8,7 +8,6 @@
 
 namespace {
 
-constexpr Duration RejectionPause = milliseconds(60); ///< a quarter of the time before a call's first piece
 constexpr Duration FailurePause = milliseconds(500); ///< doubles with each failure in a row
 constexpr int MaxPauseDoublings = 3;
 constexpr Duration MaxNearWait = milliseconds(200); ///< about half of a call
--- a/tests/gateway_world.h
+++ b/tests/gateway_world.h
@@ -272,6 +272,7 @@
         const std::string program = programPath();
         std::vector<std::string> words = {program, "gateway", "--settings", process.m_settings};
         std::vector<char *> arguments;
+        arguments.reserve(words.size() + 1);
         for (std::string &word : words) {
             arguments.push_back(word.data());
         }
--- a/tests/test_serving.cpp
+++ b/tests/test_serving.cpp
@@ -170,6 +170,7 @@
         Membership membership;
         membership.m_self = makeMember(self);
         std::vector<Member> members;
+        members.reserve(100);
         for (size_t i = 0; i < count; ++i) {
             members.push_back(makeMember("n" + std::to_string(i)));
         }
@@ -201,6 +202,7 @@
         Membership membership;
         membership.m_self = makeMember("n0", 0.12);
         std::vector<Member> members;
+        members.reserve(100);
         for (int i = 0; i < 10; ++i) {
             members.push_back(makeMember("n" + std::to_string(i), i < 5 ? 0.12 : 0.48));
         }
