--- a/src/gateway_run.cpp
+++ b/src/gateway_run.cpp
@@ -16,7 +16,10 @@
 
 constexpr Duration TickInterval = milliseconds(250);
 constexpr Duration ListenAfterTerm = milliseconds(3500); ///< readiness is asked each second and counts after two misses
-constexpr Duration ExitMargin = milliseconds(400); ///< between the last answer and SIGKILL
+/** Before SIGKILL: requests that no replica has are refused, so that their callers can still be served elsewhere. */
+constexpr Duration RefuseMargin = milliseconds(1300);
+constexpr Duration AnswerMargin = milliseconds(700); ///< before SIGKILL: all others get their last answer
+constexpr Duration ExitMargin = milliseconds(300); ///< before SIGKILL: the answers are on their way
 constexpr size_t MaxOperatorRequestBytes = 16 * 1024;
 
 bool isReady(const Gateway &gateway)
@@ -129,10 +132,36 @@
     return gateway.m_exchanges.empty() && !hasQueuedWork(gateway);
 }
 
+/** Answers requests that can't end before the process does: those at a replica only with @p everything. */
+void endOpenRequests(Gateway &gateway, bool everything)
+{
+    std::vector<uint64_t> open;
+    for (const auto &[number, exchange] : gateway.m_exchanges) {
+        if (everything || exchange->m_call == 0) {
+            open.push_back(number);
+        }
+    }
+    for (const uint64_t number : open) {
+        Exchange *exchange = findExchange(gateway, number);
+        if (exchange == nullptr) {
+            continue;
+        }
+        if (exchange->m_call == 0 && exchange->m_attempts.m_ran == 0) {
+            refuseExchange(gateway, *exchange, Reason::Draining);
+        } else {
+            failExchange(gateway, *exchange, HTTP_STATUS_BAD_GATEWAY, Reason::ShutdownLimit);
+        }
+    }
+}
+
 void continueDrain(Gateway &gateway)
 {
     const Duration elapsed = gatewayNow(gateway) - gateway.m_drainBegan;
-    if (elapsed >= ListenAfterTerm && (isIdle(gateway) || elapsed >= gateway.m_settings.m_drainTime - ExitMargin)) {
+    const Duration left = gateway.m_settings.m_drainTime - elapsed;
+    if (left <= RefuseMargin) {
+        endOpenRequests(gateway, left <= AnswerMargin);
+    }
+    if (elapsed >= ListenAfterTerm && (isIdle(gateway) || left <= ExitMargin)) {
         writeLog(LogLevel::Info, "main", "Shutdown ended.", {{"requests_left", fmt::format("{}", gateway.m_exchanges.size())}});
         stopLoop(gateway.m_loop);
     }
--- a/src/gateway_stages.cpp
+++ b/src/gateway_stages.cpp
@@ -455,6 +455,10 @@
         startStages(gateway, exchange);
         return;
     case StartDecision::Hold:
+        if (gateway.m_draining) {
+            refuseExchange(gateway, exchange, Reason::Draining);
+            return;
+        }
         gateway.m_held.push_back(exchange.m_number);
         checkHeldLater(gateway);
         return;
--- a/tests/test_gateway.cpp
+++ b/tests/test_gateway.cpp
@@ -70,6 +70,7 @@
     CPPUNIT_TEST(sendsNothingToDrainingReplica);
     CPPUNIT_TEST(dropsReservedHeadersOfCallers);
     CPPUNIT_TEST(refusesLateRequestsAfterTerm);
+    CPPUNIT_TEST(answersOpenRequestsBeforeItEnds);
     CPPUNIT_TEST(leavesMalformedRegistrationsOut);
     CPPUNIT_TEST(batchesPiecesOfTwoGateways);
     CPPUNIT_TEST_SUITE_END();
@@ -409,6 +410,30 @@
         CPPUNIT_ASSERT_EQUAL(size_t(1), replica.m_requests.size());
     }
 
+    // Guards against requests that wait for stages when the process ends, and whose connections close without an answer
+    // (LOST, found by deploy/days/owner-lost.toml with seed 2 on Paraguas).
+    void answersOpenRequestsBeforeItEnds()
+    {
+        GatewayWorld world;
+        StandIn stage;
+        StandIn plain;
+        stage.start(world.m_loop, [](StandIn &, const std::shared_ptr<WorldRequest> &) {});
+        plain.start(world.m_loop, [](StandIn &, const std::shared_ptr<WorldRequest> &) {});
+        putConfiguration(world);
+        world.m_store.putReplica("s-1", "stage", stage.address());
+        world.m_store.putReplica("i-1", "plain", plain.address());
+        const GatewayWorld::Process &gateway = world.startGateway("g1", 4000);
+        Caller &waiting = world.send(gateway, "POST", "/chain/1", "a1", {{"X-Pieces", "1"}, {"X-Piece-Key", "pk"}});
+        Caller &running = world.send(gateway, "POST", "/plain/1", "a2");
+        world.runUntil("arrival at both", [&] { return !stage.m_requests.empty() && !plain.m_requests.empty(); });
+        kill(gateway.m_pid, SIGTERM);
+        world.runUntil("both answers",
+                       [&] { return (waiting.isAnswered() || waiting.m_closed) && (running.isAnswered() || running.m_closed); });
+        CPPUNIT_ASSERT_EQUAL(503, waiting.m_reader.m_status);
+        // It may have run, so nothing is promised.
+        CPPUNIT_ASSERT_EQUAL(502, running.m_reader.m_status);
+    }
+
     // Guards against a registration of another writer that stops the gateway or hides the good ones.
     void leavesMalformedRegistrationsOut()
     {
