Remove what nothing calls: load messages, unread fields, unused names

The load message between gateways was never sent, so each placement saw only its own requests; the fields that were to hold it are gone with it. 24 suites passed.

--- a/src/gateway_attempts.cpp
+++ b/src/gateway_attempts.cpp
@@ -27,9 +27,6 @@
         view.m_failureDomain = upstream.m_record.m_failureDomain;
         view.m_slots = upstream.m_record.m_slots;
         view.m_running = upstream.m_running;
-        for (const auto &[node, running] : upstream.m_peerRunning) {
-            view.m_peerRunning += running;
-        }
         view.m_pendingTokens = upstream.m_pendingTokens;
         view.m_latency = upstream.m_latency;
         view.m_suspected = now < upstream.m_suspectedUntil;
@@ -66,7 +63,6 @@
     PlacementRequest request;
     request.m_parts = exchange.m_parts;
     request.m_callerDomain = gateway.m_settings.m_failureDomain;
-    request.m_gateways = gateway.m_membership.m_members.size();
     std::optional<size_t> index;
     if (exchange.m_route->m_usesEngine) {
         request.m_inputBytes = inputBytesByDomain(gateway, exchange);
--- a/src/gateway_internal.h
+++ b/src/gateway_internal.h
@@ -78,7 +78,6 @@
     double m_failureShare = 0; ///< moving share of failed attempts
     int m_failures = 0; ///< in a row
     TimePoint m_suspectedUntil;
-    std::map<std::string, int> m_peerRunning; ///< by gateway
     bool m_registered = true;
 };
 
@@ -236,7 +235,7 @@
 // [SECTION] Peers
 //-----------------------------------------------------------------------------
 
-enum class PeerKind : uint8_t { Hello, Submit, Cancel, Release, Result, InputsRead, Backlog, Ping, Pong, Load, Count };
+enum class PeerKind : uint8_t { Hello, Submit, Cancel, Release, Result, InputsRead, Backlog, Ping, Pong, Count };
 
 /** One message between gateways. Fields that a kind doesn't use stay empty. */
 struct PeerMessage {
@@ -257,7 +256,6 @@
     std::string m_failureDomain;
     uint8_t m_reason = 0;
     int64_t m_backlogUs = 0; ///< submit answers: until the queue has worked off what waits
-    std::vector<std::pair<std::string, int32_t>> m_loads; ///< load: running requests by replica
 
     template<typename Archive>
     void serialize(Archive &archive)
@@ -278,8 +276,7 @@
                 m_resultBytes,
                 m_failureDomain,
                 m_reason,
-                m_backlogUs,
-                m_loads);
+                m_backlogUs);
     }
 };
 
@@ -288,7 +285,6 @@
     NetConnection *m_net = nullptr;
     std::string m_buffer; ///< bytes of a message that is not complete
     TimePoint m_lastHeard;
-    bool m_outgoing = false;
 };
 
 void acceptPeer(Gateway &gateway, NetConnection *net);
@@ -310,8 +306,6 @@
     bool m_available = false; ///< the last call was answered
     int m_failures = 0; ///< in a row
     int64_t m_lease = 0;
-    bool m_announced = false;
-    TimePoint m_leaseEnds;
     std::vector<Platform::StoreItem> m_page; ///< of a listing that is not complete
     int64_t m_listRevision = 0;
     NetTimer m_watchTimer;
--- a/src/gateway_peers.cpp
+++ b/src/gateway_peers.cpp
@@ -4,7 +4,6 @@
 
 #include <cereal/archives/binary.hpp>
 #include <cereal/types/string.hpp>
-#include <cereal/types/utility.hpp>
 #include <cereal/types/vector.hpp>
 #include <fmt/format.h>
 
@@ -103,7 +102,6 @@
     }
     PeerLink &link = gateway.m_peers.emplace_back();
     link.m_node = node;
-    link.m_outgoing = true;
     ConnectionOptions options;
     options.m_connectTimeout = PeerConnectTimeout;
     options.m_silenceTimeout = PeerSilence;
@@ -139,19 +137,6 @@
     return task;
 }
 
-void applyLoads(Gateway &gateway, const std::string &node, const PeerMessage &message)
-{
-    for (auto &[id, upstream] : gateway.m_upstreams) {
-        upstream.m_peerRunning.erase(node);
-    }
-    for (const auto &[replica, running] : message.m_loads) {
-        const auto upstream = gateway.m_upstreams.find(replica);
-        if (upstream != gateway.m_upstreams.end()) {
-            upstream->second.m_peerRunning[node] = running;
-        }
-    }
-}
-
 void handleMessage(Gateway &gateway, PeerLink &link, PeerMessage &message)
 {
     switch (message.m_kind) {
@@ -184,9 +169,6 @@
         link.m_net->write(encodeMessage(pong));
         return;
     }
-    case PeerKind::Load:
-        applyLoads(gateway, link.m_node, message);
-        return;
     case PeerKind::Pong:
     case PeerKind::Count:
         return;
--- a/src/gateway_store.cpp
+++ b/src/gateway_store.cpp
@@ -344,7 +344,6 @@
 void loseLease(Gateway &gateway, int status)
 {
     gateway.m_store.m_lease = 0;
-    gateway.m_store.m_announced = false;
     noteFailure(gateway, "lease", status);
     scheduleLease(gateway, retryDelay(gateway));
 }
@@ -365,7 +364,6 @@
                       loseLease(gateway, status);
                       return;
                   }
-                  gateway.m_store.m_announced = true;
                   scheduleLease(gateway, LeaseRenewal);
               });
 }
--- a/src/net.h
+++ b/src/net.h
@@ -121,14 +121,6 @@
     /** Ends the connection by a reset, so that the peer can't take it for the end of an answer. */
     void resetConnection();
     [[nodiscard]] size_t queuedBytes() const;
-    [[nodiscard]] bool isConnected() const
-    {
-        return m_connected;
-    }
-    [[nodiscard]] NetLoop &loop()
-    {
-        return *m_netLoop;
-    }
 
 private:
     explicit NetConnection(NetLoop &loop);
@@ -203,13 +195,6 @@
     bool m_keepAlive = true;
 };
 
-struct HttpAnswer {
-    int m_status = 0;
-    HttpHeaders m_headers;
-    std::string m_body;
-    bool m_keepAlive = true;
-};
-
 /** Head of a request with Content-Length where the method has a body or one is given. */
 std::string formatRequest(const std::string &method, const std::string &target, const HttpHeaders &headers, std::string_view body);
 std::string formatAnswer(int status, const HttpHeaders &headers, std::string_view body, bool keepAlive);
--- a/src/serving.h
+++ b/src/serving.h
@@ -483,8 +483,7 @@
     std::string m_failureDomain;
     int m_slots = 1;
     int m_running = 0; ///< requests of this gateway
-    int m_peerRunning = 0; ///< requests of other gateways, as far as known
-    int64_t m_pendingTokens = 0; ///< prompt tokens sent and not answered yet, of all gateways as far as known
+    int64_t m_pendingTokens = 0; ///< prompt tokens that this gateway sent and that were not answered yet
     double m_latency = 0; ///< moving mean of observed times, seconds; 0: unknown
     bool m_suspected = false; ///< recent failures
     bool m_tried = false; ///< an attempt of the same request failed there
@@ -494,7 +493,6 @@
     std::vector<PromptPart> m_parts; ///< empty for a plain request
     std::string m_callerDomain; ///< failure domain of this gateway
     std::map<std::string, int64_t> m_inputBytes; ///< results to read, by failure domain
-    size_t m_gateways = 1; ///< live gateways, to scale what is seen here
 };
 
 /** Index of the replica to use; nothing when there is none. */
--- a/src/serving_placement.cpp
+++ b/src/serving_placement.cpp
@@ -17,7 +17,7 @@
 
 double runningEstimate(const ReplicaView &replica)
 {
-    return static_cast<double>(replica.m_running + replica.m_peerRunning);
+    return static_cast<double>(replica.m_running);
 }
 
 double triedCost(const ReplicaView &replica)
