Release connections of a loop in order

Cause: under the address sanitizer the gateway suite failed with leaks of the test world's own connections. A loop now knows its connections and closes them; the suite passes with the address sanitizer (gateway, platform, stage_load, serving).

--- a/src/net.h
+++ b/src/net.h
@@ -19,6 +19,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <unordered_set>
 #include <utility>
 #include <vector>
 
@@ -37,8 +38,11 @@
 
 constexpr size_t ReadBufferBytes = 64 * 1024; ///< one buffer a loop, as readers consume what they get at once
 
+class NetConnection;
+
 struct NetLoop {
     uv_loop_t m_loop{};
+    std::unordered_set<NetConnection *> m_connections; ///< not yet released
     Clock *m_clock = nullptr;
     std::vector<char> m_readBuffer;
 };
@@ -47,6 +51,8 @@
 /** Runs until stopLoop(). */
 void runLoop(NetLoop &loop);
 void stopLoop(NetLoop &loop);
+/** Closes all connections and runs until everything is released. Timers and listeners have to be gone before. */
+void closeLoop(NetLoop &loop);
 TimePoint loopNow(const NetLoop &loop);
 
 //-----------------------------------------------------------------------------
@@ -124,7 +130,7 @@
 
 private:
     explicit NetConnection(NetLoop &loop);
-    ~NetConnection() = default;
+    ~NetConnection();
     void startReading();
     void applyOptions();
     void finish(CloseCause cause, absl::Status status);
--- a/src/net_loop.cpp
+++ b/src/net_loop.cpp
@@ -53,6 +53,18 @@
     uv_stop(&loop.m_loop);
 }
 
+void closeLoop(NetLoop &loop)
+{
+    const std::vector<NetConnection *> open(loop.m_connections.begin(), loop.m_connections.end());
+    for (NetConnection *connection : open) {
+        connection->close();
+    }
+    uv_run(&loop.m_loop, UV_RUN_DEFAULT);
+    if (uv_loop_close(&loop.m_loop) != 0) {
+        writeLog(LogLevel::Warning, "net", "Loop closed with open handles.");
+    }
+}
+
 TimePoint loopNow(const NetLoop &loop)
 {
     return now(*loop.m_clock);
@@ -139,6 +151,12 @@
 {
     uv_tcp_init(&loop.m_loop, &m_tcp);
     m_tcp.data = this;
+    loop.m_connections.insert(this);
+}
+
+NetConnection::~NetConnection()
+{
+    m_netLoop->m_connections.erase(this);
 }
 
 NetConnection *NetConnection::connect(NetLoop &loop, const SocketAddress &address, const ConnectionOptions &options)
--- a/tests/gateway_world.h
+++ b/tests/gateway_world.h
@@ -241,6 +241,8 @@
             waitpid(process.m_pid, nullptr, 0);
             unlink(process.m_settings.c_str());
         }
+        m_store.m_server.m_listener.close();
+        closeLoop(m_loop);
     }
 
     GatewayWorld(const GatewayWorld &) = delete;
