--- a/src/gateway_attempts.cpp
+++ b/src/gateway_attempts.cpp
@@ -216,16 +216,20 @@
     return events;
 }
 
-void forwardEvents(Gateway &gateway, Exchange &exchange, HttpReader &reader)
+/** Passes whole events on. @return false when that ended the request, as the caller does not read. */
+bool forwardEvents(Gateway &gateway, Exchange &exchange, HttpReader &reader)
 {
     exchange.m_partialEvent += std::exchange(reader.m_body, std::string());
     const std::string events = takeEvents(exchange);
     if (events.empty()) {
-        return;
+        return true;
     }
     if (exchange.m_streaming) {
-        sendEvents(*exchange.m_caller, events);
-        return;
+        const bool sent = sendEvents(*exchange.m_caller, events);
+        if (!sent) {
+            breakExchange(gateway, exchange, Reason::ConnectionSilent);
+        }
+        return sent;
     }
     exchange.m_streaming = true;
     exchange.m_attempts.m_begun = true;
@@ -235,6 +239,7 @@
     const Duration latency = gatewayNow(gateway) - exchange.m_attemptAt;
     observeAttempt(gateway, exchange.m_replica, false, false, latency);
     beginStream(gateway, *exchange.m_caller, reader.m_status, answerHeaders(reader), events);
+    return true;
 }
 
 bool isEventStream(const HttpReader &reader)
@@ -244,7 +249,9 @@
 
 void handleStreamEnd(Gateway &gateway, Exchange &exchange, HttpReader &reader, CallEnd end)
 {
-    forwardEvents(gateway, exchange, reader);
+    if (!forwardEvents(gateway, exchange, reader)) {
+        return;
+    }
     const bool whole = end == CallEnd::Done && exchange.m_partialEvent.empty();
     exchange.m_partialEvent.clear();
     if (whole && exchange.m_streaming) {
@@ -259,7 +266,7 @@
 // Ends of attempts
 //-----------------------------------------------------------------------------
 
-void relayFailure(Gateway &gateway, Exchange &exchange, HttpReader &reader)
+void relayAnswer(Gateway &gateway, Exchange &exchange, HttpReader &reader)
 {
     const HttpHeaders headers = answerHeaders(reader);
     const int status = reader.m_status;
@@ -284,7 +291,7 @@
         startAttempt(gateway, exchange);
         return;
     }
-    relayFailure(gateway, exchange, reader);
+    relayAnswer(gateway, exchange, reader);
 }
 
 void handleNotRun(Gateway &gateway, Exchange &exchange, HttpReader &reader)
@@ -326,7 +333,7 @@
     }
     observeAttempt(gateway, exchange.m_replica, false, false, gatewayNow(gateway) - exchange.m_attemptAt);
     leaveReplica(gateway, exchange);
-    relayFailure(gateway, exchange, reader);
+    relayAnswer(gateway, exchange, reader);
 }
 
 AttemptEnd endOf(CallEnd end)
@@ -383,7 +390,7 @@
     }
     HttpReader &reader = answerOf(call);
     if (isEventStream(reader)) {
-        forwardEvents(gateway, *exchange, reader);
+        static_cast<void>(forwardEvents(gateway, *exchange, reader)); // nothing follows that needs the request
     }
 }
 
--- a/src/gateway_callers.cpp
+++ b/src/gateway_callers.cpp
@@ -169,11 +169,13 @@
     caller.m_net->write(formatChunkedHead(status, headers, caller.m_keepAlive) + formatChunk(events));
 }
 
-void sendEvents(CallerConnection &caller, std::string_view events)
+bool sendEvents(CallerConnection &caller, std::string_view events)
 {
-    if (caller.m_net->queuedBytes() < MaxQueuedBytes) {
-        caller.m_net->write(formatChunk(events));
+    if (caller.m_net->queuedBytes() >= MaxQueuedBytes) {
+        return false;
     }
+    caller.m_net->write(formatChunk(events));
+    return true;
 }
 
 void endStream(Gateway &gateway, CallerConnection &caller)
--- a/src/gateway_internal.h
+++ b/src/gateway_internal.h
@@ -119,7 +119,8 @@
 /** Sends a whole answer and reads the next request. */
 void sendAnswer(Gateway &gateway, CallerConnection &caller, int status, const HttpHeaders &headers, std::string_view body);
 void beginStream(Gateway &gateway, CallerConnection &caller, int status, const HttpHeaders &headers, std::string_view events);
-void sendEvents(CallerConnection &caller, std::string_view events);
+/** @return false when the caller reads too slowly for more: events are never left out, so the stream has to end. */
+[[nodiscard]] bool sendEvents(CallerConnection &caller, std::string_view events);
 void endStream(Gateway &gateway, CallerConnection &caller);
 /** Ends the connection in a way that can't be taken for the end of an answer. */
 void breakOff(Gateway &gateway, CallerConnection &caller);
--- a/src/gateway_stages.cpp
+++ b/src/gateway_stages.cpp
@@ -476,17 +476,20 @@
     });
     const std::vector<uint64_t> held = std::exchange(gateway.m_held, {});
     for (const uint64_t number : held) {
-        Exchange &exchange = *findExchange(gateway, number);
-        switch (decideNow(gateway, exchange)) {
+        Exchange *exchange = findExchange(gateway, number);
+        if (exchange == nullptr) {
+            continue; // ended by what another start brought about
+        }
+        switch (decideNow(gateway, *exchange)) {
         case StartDecision::Start:
-            assumeBacklog(gateway, exchange);
-            startStages(gateway, exchange);
+            assumeBacklog(gateway, *exchange);
+            startStages(gateway, *exchange);
             break;
         case StartDecision::Hold:
             gateway.m_held.push_back(number);
             break;
         case StartDecision::Refuse:
-            refuseExchange(gateway, exchange, Reason::DeadlineUnreachable);
+            refuseExchange(gateway, *exchange, Reason::DeadlineUnreachable);
             break;
         }
     }
@@ -681,15 +684,7 @@
             worker.m_usable = false;
         }
         for (const std::string &id : gateway.m_replicasByService[service]) {
-            const ReplicaRecord &record = gateway.m_upstreams.at(id).m_record;
-            StageWorker &worker = queue.m_workers[id];
-            if (worker.m_address != record.m_address) {
-                worker = StageWorker();
-            }
-            worker.m_id = id;
-            worker.m_address = record.m_address;
-            worker.m_failureDomain = record.m_failureDomain;
-            worker.m_usable = true;
+            updateWorker(queue, gateway.m_upstreams.at(id).m_record);
         }
         std::erase_if(queue.m_workers, [](const auto &entry) { return !entry.second.m_usable && entry.second.m_calls == 0; });
         if (!queue.m_waiting.empty()) {
--- a/src/gateway_store.cpp
+++ b/src/gateway_store.cpp
@@ -111,17 +111,19 @@
 void noteAvailable(Gateway &gateway)
 {
     StoreClient &store = gateway.m_store;
+    noteStoreAnswer(gateway.m_registry, gatewayNow(gateway));
     if (!store.m_available) {
-        gateway.m_registry.m_storeBackAt = gatewayNow(gateway);
         writeLog(LogLevel::Info, "store", "The store answers.", {{"failures", fmt::format("{}", store.m_failures)}});
     }
     store.m_available = true;
     store.m_failures = 0;
 }
 
-void noteFailure(Gateway &gateway, std::string_view call, int status)
+/** @param silence time that the call was without an answer before it failed */
+void noteFailure(Gateway &gateway, std::string_view call, int status, Duration silence)
 {
     StoreClient &store = gateway.m_store;
+    noteStoreFailure(gateway.m_registry, gatewayNow(gateway) - silence);
     if (store.m_available || store.m_failures == 0) {
         writeLog(LogLevel::Warning, "store", "Call failed.", {{"call", std::string(call)}, {"status", fmt::format("{}", status)}});
     }
@@ -273,7 +275,7 @@
 
 void retryListing(Gateway &gateway, int status)
 {
-    noteFailure(gateway, "list", status);
+    noteFailure(gateway, "list", status, status == 0 ? CallTimeout : Duration(0));
     gateway.m_store.m_watchTimer.start(gateway.m_loop, retryDelay(gateway), [&gateway] { startListing(gateway); });
 }
 
@@ -319,7 +321,8 @@
         startListing(gateway);
         return;
     }
-    noteFailure(gateway, "watch", status);
+    // A watch that waits may be cut at any time, so its end says nothing of the time before.
+    noteFailure(gateway, "watch", status, Duration(0));
     store.m_watchTimer.start(gateway.m_loop, retryDelay(gateway), [&gateway] { watch(gateway); });
 }
 
@@ -344,7 +347,7 @@
 void loseLease(Gateway &gateway, int status)
 {
     gateway.m_store.m_lease = 0;
-    noteFailure(gateway, "lease", status);
+    noteFailure(gateway, "lease", status, status == 0 ? CallTimeout : Duration(0));
     scheduleLease(gateway, retryDelay(gateway));
 }
 
@@ -408,6 +411,7 @@
               CallTimeout,
               [&gateway](int status, const std::string &) {
                   if (status == HTTP_STATUS_OK) {
+                      noteAvailable(gateway);
                       scheduleLease(gateway, LeaseRenewal);
                       return;
                   }
@@ -417,6 +421,7 @@
                       return;
                   }
                   // The lease may hold on: it is renewed again, not replaced.
+                  noteFailure(gateway, "renew", status, status == 0 ? CallTimeout : Duration(0));
                   scheduleLease(gateway, retryDelay(gateway));
               });
 }
--- a/src/serving.h
+++ b/src/serving.h
@@ -206,9 +206,15 @@
 
 struct Registry {
     std::map<std::string, RegisteredReplica> m_replicas; ///< by id
-    std::optional<TimePoint> m_storeBackAt; ///< when the store answered again after it did not
+    std::optional<TimePoint> m_storeAwaySince; ///< first call without an answer, while there is none
+    std::optional<TimePoint> m_storeBackAt; ///< when the store answered again after an outage
 };
 
+/** Shorter gaps are single calls that were cut; no registration lapses in them. */
+constexpr Duration MinOutage = milliseconds(1000);
+
+void noteStoreFailure(Registry &registry, TimePoint now);
+void noteStoreAnswer(Registry &registry, TimePoint now);
 void putReplica(Registry &registry, ReplicaRecord record);
 /** A registration was removed; it stays for LapsedGrace when the store was away just before. */
 void removeReplica(Registry &registry, const std::string &id, TimePoint now);
@@ -340,6 +346,7 @@
     std::string m_id;
     std::string m_address;
     std::string m_failureDomain;
+    int64_t m_born = 0; ///< start of the incarnation, Unix milliseconds
     bool m_usable = true; ///< registered and not draining
     int m_calls = 0; ///< open calls
     int64_t m_heldBytes = 0; ///< results that were not freed
@@ -387,6 +394,8 @@
     Reason m_reason = Reason::None; ///< None: all pieces are done
 };
 
+/** Takes a registered replica into the queue; a new incarnation holds no results and has no history. */
+void updateWorker(StageQueue &queue, const ReplicaRecord &record);
 /** Queues a task. @return false when the queue is full. */
 bool addTask(StageQueue &queue, StageTask task);
 /** Removes a task. @return handles of results that are not wanted any more. */
--- a/src/serving_queue.cpp
+++ b/src/serving_queue.cpp
@@ -274,6 +274,23 @@
 
 } // namespace
 
+void updateWorker(StageQueue &queue, const ReplicaRecord &record)
+{
+    StageWorker &worker = queue.m_workers[record.m_id];
+    const bool isNew = worker.m_born != record.m_born || worker.m_address != record.m_address;
+    if (isNew) {
+        std::erase_if(queue.m_results, [&record](const auto &entry) { return entry.second.m_replica == record.m_id; });
+        const int calls = worker.m_calls; // of the incarnation before; they end by themselves
+        worker = StageWorker();
+        worker.m_calls = calls;
+    }
+    worker.m_id = record.m_id;
+    worker.m_address = record.m_address;
+    worker.m_failureDomain = record.m_failureDomain;
+    worker.m_born = record.m_born;
+    worker.m_usable = true;
+}
+
 bool addTask(StageQueue &queue, StageTask task)
 {
     if (queue.m_tasks.size() >= MaxWaitingTasks) {
--- a/src/serving_registry.cpp
+++ b/src/serving_registry.cpp
@@ -29,6 +29,21 @@
 // Registry
 //-----------------------------------------------------------------------------
 
+void noteStoreFailure(Registry &registry, TimePoint now)
+{
+    if (!registry.m_storeAwaySince) {
+        registry.m_storeAwaySince = now;
+    }
+}
+
+void noteStoreAnswer(Registry &registry, TimePoint now)
+{
+    if (registry.m_storeAwaySince && now - *registry.m_storeAwaySince >= MinOutage) {
+        registry.m_storeBackAt = now;
+    }
+    registry.m_storeAwaySince.reset();
+}
+
 void putReplica(Registry &registry, ReplicaRecord record)
 {
     RegisteredReplica &replica = registry.m_replicas[record.m_id];
--- a/tests/test_serving.cpp
+++ b/tests/test_serving.cpp
@@ -76,6 +76,7 @@
     CPPUNIT_TEST(settingsReportEveryFinding);
     CPPUNIT_TEST(lapsedRegistrationsGetTimeToReturn);
     CPPUNIT_TEST(removedRegistrationIsGoneAtOnce);
+    CPPUNIT_TEST(cutWatchIsNoOutage);
     CPPUNIT_TEST(listingRemovesWhatIsMissing);
     CPPUNIT_TEST(ownersAgreeAndMoveLittle);
     CPPUNIT_TEST(heavierMembersOwnMore);
@@ -134,7 +135,9 @@
         Registry registry;
         putReplica(registry, makeReplica("r1"));
         putReplica(registry, makeReplica("r2"));
-        registry.m_storeBackAt = Start;
+        noteStoreFailure(registry, Start - MinOutage);
+        noteStoreFailure(registry, Start - milliseconds(100));
+        noteStoreAnswer(registry, Start);
         removeReplica(registry, "r1", Start + milliseconds(100));
         removeReplica(registry, "r2", Start + milliseconds(100));
         putReplica(registry, makeReplica("r2"));
@@ -154,6 +157,17 @@
         CPPUNIT_ASSERT(registry.m_replicas.empty());
     }
 
+    // Guards against replicas that are used on for two seconds after they left because a watch was cut meanwhile.
+    void cutWatchIsNoOutage()
+    {
+        Registry registry;
+        putReplica(registry, makeReplica("r1"));
+        noteStoreFailure(registry, Start);
+        noteStoreAnswer(registry, Start + milliseconds(200));
+        removeReplica(registry, "r1", Start + milliseconds(300));
+        CPPUNIT_ASSERT(registry.m_replicas.empty());
+    }
+
     // Guards against replicas that stay for ever because their removal fell into a gap of the history.
     void listingRemovesWhatIsMissing()
     {
--- a/tests/test_stage_load.cpp
+++ b/tests/test_stage_load.cpp
@@ -194,6 +194,7 @@
     CPPUNIT_TEST(piecesAreNotSentForEver);
     CPPUNIT_TEST(nearReplicaIsPreferred);
     CPPUNIT_TEST(canceledTaskGivesItsResultsBack);
+    CPPUNIT_TEST(newIncarnationHoldsNothing);
     CPPUNIT_TEST_SUITE_END();
 
     // Guards against batches that stay small. 18 requests of 8 pieces a second, as on the ordinary day; nine gateways
@@ -331,6 +332,32 @@
         CPPUNIT_ASSERT_EQUAL(std::string("b"), calls[0].m_replica);
     }
 
+    // Guards against room that counts as taken at a replica that started anew under its id, and against its old failures.
+    void newIncarnationHoldsNothing()
+    {
+        StageQueue queue;
+        queue.m_limits = {1, 2, 8, milliseconds(240), milliseconds(26), 9'600'000, seconds(4)};
+        ReplicaRecord record;
+        record.m_id = "0";
+        record.m_born = 1;
+        updateWorker(queue, record);
+        StageTask task = makeTask(Start, 8);
+        task.m_resultBytes = 1'000'000;
+        addTask(queue, task);
+        const StageCall call = planCalls(queue, Start).at(0);
+        for (size_t i = 0; i < call.m_items.size(); ++i) {
+            completePiece(queue, call, i, "h/" + std::to_string(i), Start);
+        }
+        endCall(queue, call.m_call, false, Start);
+        queue.m_workers["0"].m_failures = 3;
+        updateWorker(queue, record);
+        CPPUNIT_ASSERT(queue.m_workers["0"].m_heldBytes > 0 && queue.m_workers["0"].m_failures == 3);
+        record.m_born = 2;
+        updateWorker(queue, record);
+        CPPUNIT_ASSERT(queue.m_workers["0"].m_heldBytes == 0 && queue.m_workers["0"].m_failures == 0);
+        CPPUNIT_ASSERT(queue.m_results.empty());
+    }
+
     // Guards against results that stay at their replica after the caller has gone.
     void canceledTaskGivesItsResultsBack()
     {
