--- a/src/net.h
+++ b/src/net.h
@@ -226,6 +226,7 @@
 class HttpReader
 {
 public:
+    /** @param maxBodyBytes of a body that is not taken meanwhile */
     HttpReader(http_parser_type type, size_t maxHeadBytes, size_t maxBodyBytes);
     HttpReader(const HttpReader &) = delete;
     HttpReader &operator=(const HttpReader &) = delete;
@@ -264,7 +265,6 @@
     size_t m_maxHeadBytes;
     size_t m_maxBodyBytes;
     size_t m_headBytes = 0;
-    size_t m_bodyBytes = 0;
     bool m_lastWasValue = true;
 };
 
--- a/src/net_http.cpp
+++ b/src/net_http.cpp
@@ -176,7 +176,6 @@
     m_keepAlive = true;
     m_expectContinue = false;
     m_headBytes = 0;
-    m_bodyBytes = 0;
     m_lastWasValue = true;
 }
 
@@ -276,8 +275,7 @@
 int HttpReader::onBody(http_parser *parser, const char *data, size_t length)
 {
     HttpReader &self = readerOf(parser);
-    self.m_bodyBytes += length;
-    if (self.m_bodyBytes > self.m_maxBodyBytes) {
+    if (self.m_body.size() + length > self.m_maxBodyBytes) {
         self.m_state = ParseState::BodyTooLarge;
         return 1;
     }
