Send stage tasks whole where room for results is scarce; put late work last

Tasks were split over calls, and the results of a split task take room until its last piece is done. Also, a call took late work whose reader is near before work in time from elsewhere.

--- a/src/serving_queue.cpp
+++ b/src/serving_queue.cpp
@@ -128,23 +128,54 @@
     return left.m_rank != right.m_rank ? left.m_rank < right.m_rank : left.m_deadline < right.m_deadline;
 }
 
-void sortWaiting(StageQueue &queue, TimePoint now)
+/** Tickets with pieces to send, in the order in which they go. */
+struct WaitingOrder {
+    std::vector<uint64_t> m_inTime; ///< can keep their due time
+    std::vector<uint64_t> m_late;
+};
+
+WaitingOrder sortWaiting(const StageQueue &queue, TimePoint now)
 {
     const auto taskOf = [&queue](uint64_t ticket) -> const StageTask & { return queue.m_tasks.at(ticket); };
-    std::vector<uint64_t> rest = std::move(queue.m_waiting);
-    std::stable_sort(rest.begin(), rest.end(), [&](uint64_t left, uint64_t right) { return taskOf(left).m_due < taskOf(right).m_due; });
-    queue.m_waiting = takeInTime(queue, rest, now);
-    std::stable_sort(rest.begin(), rest.end(), [&](uint64_t left, uint64_t right) { return isMoreUrgent(taskOf(left), taskOf(right)); });
-    queue.m_waiting.insert(queue.m_waiting.end(), rest.begin(), rest.end());
+    WaitingOrder order;
+    std::vector<uint64_t> &late = order.m_late;
+    late = queue.m_waiting;
+    std::stable_sort(late.begin(), late.end(), [&](uint64_t left, uint64_t right) { return taskOf(left).m_due < taskOf(right).m_due; });
+    order.m_inTime = takeInTime(queue, late, now);
+    std::stable_sort(late.begin(), late.end(), [&](uint64_t left, uint64_t right) { return isMoreUrgent(taskOf(left), taskOf(right)); });
+    return order;
+}
+
+int64_t usableRoom(const StageQueue &queue)
+{
+    const int64_t room = queue.m_limits.m_roomBytes;
+    return room <= 0 ? std::numeric_limits<int64_t>::max() : static_cast<int64_t>(static_cast<double>(room) * UsableRoom);
 }
 
 int64_t roomLeft(const StageQueue &queue, const StageWorker &worker)
 {
-    if (queue.m_limits.m_roomBytes <= 0) {
-        return std::numeric_limits<int64_t>::max();
+    return usableRoom(queue) - worker.m_heldBytes;
+}
+
+/** Results of @p bytes that fit into @p room. */
+size_t resultsIn(int64_t room, int64_t bytes)
+{
+    if (room <= 0) {
+        return 0;
     }
-    const auto usable = static_cast<int64_t>(static_cast<double>(queue.m_limits.m_roomBytes) * UsableRoom);
-    return usable - worker.m_heldBytes;
+    return bytes <= 0 ? std::numeric_limits<size_t>::max() : static_cast<size_t>(room / bytes);
+}
+
+/**
+ * Whether @p task has to leave the rest of @p call to others. Where room is scarcer than places in the batch, a task goes
+ * in one call: the results of one that is split take room until its last piece is done, and nobody reads them before.
+ */
+bool isSplitByRoom(const StageQueue &queue, const StageWorker &worker, const StageTask &task, const StageCall &call, size_t batch)
+{
+    const size_t fitting = resultsIn(roomLeft(queue, worker) - call.m_resultBytes, task.m_resultBytes);
+    const bool roomBinds = fitting < batch - call.m_items.size();
+    const size_t empty = std::min(batch, resultsIn(usableRoom(queue), task.m_resultBytes));
+    return roomBinds && fitting < task.m_pieces.size() && task.m_pieces.size() <= empty;
 }
 
 /** Moves pieces of @p task into @p call as far as batch and room go. */
@@ -152,6 +183,9 @@
 {
     // A replica that failed gets little work until it has answered, as what is lost there has to be sent again.
     const auto batch = static_cast<size_t>(worker.m_failures > 0 ? std::min(ProbeBatch, queue.m_limits.m_batch) : queue.m_limits.m_batch);
+    if (isSplitByRoom(queue, worker, task, call, batch)) {
+        return;
+    }
     while (!task.m_pieces.empty() && call.m_items.size() < batch) {
         if (call.m_resultBytes + task.m_resultBytes > roomLeft(queue, worker)) {
             return;
@@ -187,13 +221,11 @@
     return near && *near - now <= MaxNearWait && *near + NearMargin <= task.m_due;
 }
 
-/** Fills a call for one replica: work whose results are read near it first, then any. */
-StageCall fillCall(StageQueue &queue, const StageWorker &worker, TimePoint now)
+/** Fills a call with those of @p tickets that suit: work whose results are read near the replica first, then any. */
+void takeTasks(StageQueue &queue, const StageWorker &worker, const std::vector<uint64_t> &tickets, StageCall &call, TimePoint now)
 {
-    StageCall call;
-    call.m_replica = worker.m_id;
     for (const bool nearOnly : {true, false}) {
-        for (const uint64_t ticket : queue.m_waiting) {
+        for (const uint64_t ticket : tickets) {
             StageTask &task = queue.m_tasks.at(ticket);
             const bool isNear = suitsDomain(task, worker);
             if (nearOnly ? isNear : !isNear && !waitsForNear(queue, task, now)) {
@@ -201,7 +233,15 @@
             }
         }
     }
-    std::erase_if(queue.m_waiting, [&](uint64_t ticket) { return queue.m_tasks.at(ticket).m_pieces.empty(); });
+}
+
+/** Fills a call for one replica: what keeps its due time goes before what is late wherever its results are read. */
+StageCall fillCall(StageQueue &queue, const StageWorker &worker, const WaitingOrder &order, TimePoint now)
+{
+    StageCall call;
+    call.m_replica = worker.m_id;
+    takeTasks(queue, worker, order.m_inTime, call, now);
+    takeTasks(queue, worker, order.m_late, call, now);
     return call;
 }
 
@@ -322,9 +362,9 @@
     if (queue.m_waiting.empty()) {
         return calls;
     }
-    sortWaiting(queue, now);
+    const WaitingOrder order = sortWaiting(queue, now);
     for (StageWorker *worker : freeWorkers(queue, now)) {
-        StageCall call = fillCall(queue, *worker, now);
+        StageCall call = fillCall(queue, *worker, order, now);
         if (call.m_items.empty()) {
             continue;
         }
@@ -335,6 +375,7 @@
         queue.m_calls.emplace(call.m_call, call);
         calls.push_back(std::move(call));
     }
+    std::erase_if(queue.m_waiting, [&queue](uint64_t ticket) { return queue.m_tasks.at(ticket).m_pieces.empty(); });
     return calls;
 }
 
--- a/tests/test_stage_load.cpp
+++ b/tests/test_stage_load.cpp
@@ -190,6 +190,9 @@
     CPPUNIT_TEST(oneQueueCarriesTheOrdinaryLoadOfTheGrownFleet);
     CPPUNIT_TEST(overloadMakesFewLate);
     CPPUNIT_TEST(roomIsNeverExceeded);
+    CPPUNIT_TEST(scarceRoomIsNotSpentOnSplitTasks);
+    CPPUNIT_TEST(taskLargerThanTheRoomIsSplit);
+    CPPUNIT_TEST(lateWorkNearTheReplicaWaitsForWorkInTime);
     CPPUNIT_TEST(failedReplicaGetsLittleUntilItAnswers);
     CPPUNIT_TEST(piecesAreNotSentForEver);
     CPPUNIT_TEST(nearReplicaIsPreferred);
@@ -265,6 +268,67 @@
         CPPUNIT_ASSERT(!planCalls(queue, now + seconds(5)).empty());
     }
 
+    // Guards against results that take room until the last piece of their task is done elsewhere.
+    void scarceRoomIsNotSpentOnSplitTasks()
+    {
+        StageQueue queue;
+        queue.m_limits = {1, 2, 26, milliseconds(240), Duration(7'900), 2'800'000, seconds(4)};
+        for (const char *id : {"0", "1"}) {
+            queue.m_workers[id].m_id = id;
+        }
+        queue.m_workers["0"].m_heldBytes = 20 * 60'000;
+        queue.m_workers["1"].m_heldBytes = 20 * 60'000;
+        for (int i = 0; i < 5; ++i) {
+            StageTask task = makeTask(Start, 8);
+            task.m_resultBytes = 60'000;
+            addTask(queue, task);
+        }
+        for (const StageCall &call : planCalls(queue, Start)) {
+            std::map<uint64_t, int> pieces;
+            for (const StageCall::Item &item : call.m_items) {
+                pieces[item.m_ticket] += 1;
+            }
+            CPPUNIT_ASSERT_EQUAL(size_t(16), call.m_items.size());
+            for (const auto &[ticket, count] : pieces) {
+                CPPUNIT_ASSERT_EQUAL(8, count);
+            }
+        }
+    }
+
+    // Guards against a task that waits for ever as no replica has room for all of it.
+    void taskLargerThanTheRoomIsSplit()
+    {
+        StageQueue queue;
+        queue.m_limits = {1, 2, 26, milliseconds(240), Duration(7'900), 600'000, seconds(4)};
+        queue.m_workers["0"].m_id = "0";
+        StageTask task = makeTask(Start, 12);
+        task.m_resultBytes = 60'000;
+        addTask(queue, task);
+        const std::vector<StageCall> calls = planCalls(queue, Start);
+        CPPUNIT_ASSERT_EQUAL(size_t(1), calls.size());
+        CPPUNIT_ASSERT(!calls[0].m_items.empty() && calls[0].m_items.size() < 12);
+    }
+
+    // Guards against work that is late anyway and goes first because its results are read near the replica.
+    void lateWorkNearTheReplicaWaitsForWorkInTime()
+    {
+        StageQueue queue;
+        queue.m_limits = packStore();
+        queue.m_limits.m_batch = 8;
+        queue.m_workers["0"].m_id = "0";
+        queue.m_workers["0"].m_failureDomain = "a";
+        StageTask late = makeTask(Start, 8);
+        late.m_due = Start - seconds(1);
+        late.m_failureDomain = "a";
+        addTask(queue, late);
+        StageTask inTime = makeTask(Start, 8);
+        inTime.m_failureDomain = "b";
+        addTask(queue, inTime);
+        const std::vector<StageCall> calls = planCalls(queue, Start);
+        CPPUNIT_ASSERT_EQUAL(size_t(1), calls.size());
+        CPPUNIT_ASSERT_EQUAL(uint64_t(2), calls[0].m_items.front().m_ticket);
+    }
+
     static StageTask makeTask(TimePoint now, int pieces)
     {
         StageTask task;
