Keep stages in the failure domain that holds their inputs

Cause: each piece of a stage fetches all results of the stage before, so a request of six pieces after eight of 60 kB moved 2.9 MB between failure domains; the preferred domain was that of the model replica, which reads 36 kB of it. Ruled out: the large results for the model, which are read once.

--- a/src/gateway_attempts.cpp
+++ b/src/gateway_attempts.cpp
@@ -36,25 +36,16 @@
     return views;
 }
 
-std::map<std::string, int64_t> inputBytesByDomain(Gateway &gateway, const Exchange &exchange)
+/** Stages whose results the replica of the run will read. */
+std::vector<size_t> heldStages(const Exchange &exchange)
 {
-    std::map<std::string, int64_t> bytes;
-    std::unordered_map<std::string, const Upstream *> byAddress;
+    std::vector<size_t> stages;
     for (size_t stage = 0; stage < exchange.m_plan.m_stages.size(); ++stage) {
-        if (exchange.m_plan.m_stages[stage].m_freed) {
-            continue;
-        }
-        for (const std::string &handle : exchange.m_plan.m_stages[stage].m_handles) {
-            const std::optional<SocketAddress> address = Platform::resultAddress(handle);
-            for (const std::string &id : gateway.m_replicasByService[exchange.m_route->m_stages[stage].m_service]) {
-                const Upstream &upstream = gateway.m_upstreams.at(id);
-                if (address && upstream.m_address == *address) {
-                    bytes[upstream.m_record.m_failureDomain] += exchange.m_route->m_stages[stage].m_resultBytes;
-                }
-            }
+        if (!exchange.m_plan.m_stages[stage].m_freed) {
+            stages.push_back(stage);
         }
     }
-    return bytes;
+    return stages;
 }
 
 std::optional<std::string> chooseReplica(Gateway &gateway, const Exchange &exchange)
@@ -65,7 +56,7 @@
     request.m_callerDomain = gateway.m_settings.m_failureDomain;
     std::optional<size_t> index;
     if (exchange.m_route->m_usesEngine) {
-        request.m_inputBytes = inputBytesByDomain(gateway, exchange);
+        request.m_inputBytes = resultBytesByDomain(gateway, exchange, heldStages(exchange));
         index = placePrompt(views, request);
     } else {
         index = placePlain(views, request, gateway.m_random);
@@ -505,6 +496,24 @@
     return true;
 }
 
+BytesByDomain resultBytesByDomain(Gateway &gateway, const Exchange &exchange, const std::vector<size_t> &stages)
+{
+    BytesByDomain bytes;
+    for (const size_t stage : stages) {
+        const ServingStage &definition = exchange.m_route->m_stages[stage];
+        for (const std::string &handle : exchange.m_plan.m_stages[stage].m_handles) {
+            const std::optional<SocketAddress> address = Platform::resultAddress(handle);
+            for (const std::string &id : gateway.m_replicasByService[definition.m_service]) {
+                const Upstream &upstream = gateway.m_upstreams.at(id);
+                if (address && upstream.m_address == *address) {
+                    bytes[upstream.m_record.m_failureDomain] += definition.m_resultBytes;
+                }
+            }
+        }
+    }
+    return bytes;
+}
+
 std::string homeDomain(Gateway &gateway, const Exchange &exchange)
 {
     if (!exchange.m_route->m_usesEngine) {
--- a/src/gateway_internal.h
+++ b/src/gateway_internal.h
@@ -187,6 +187,8 @@
 /** All stages are done: places the request and sends it. */
 void startAttempt(Gateway &gateway, Exchange &exchange);
 void stopAttempt(Gateway &gateway, Exchange &exchange);
+/** Where the results of @p stages are held. */
+BytesByDomain resultBytesByDomain(Gateway &gateway, const Exchange &exchange, const std::vector<size_t> &stages);
 /** Failure domain of the replica that the request will likely run on; empty when there is none. */
 std::string homeDomain(Gateway &gateway, const Exchange &exchange);
 
--- a/src/gateway_stages.cpp
+++ b/src/gateway_stages.cpp
@@ -46,8 +46,12 @@
     task.m_deadline = exchange.m_firstEventBy;
     task.m_due = dueTime(exchange, stage);
     task.m_resultBytes = definition.m_resultBytes;
-    task.m_failureDomain = homeDomain(gateway, exchange);
-    task.m_pieces.resize(static_cast<size_t>(exchange.m_plan.m_stages[stage].m_pieces));
+    const int pieces = exchange.m_plan.m_stages[stage].m_pieces;
+    task.m_failureDomain = nearestDomain(resultBytesByDomain(gateway, exchange, definition.m_after),
+                                         pieces,
+                                         homeDomain(gateway, exchange),
+                                         finalBytes(*exchange.m_route, exchange.m_plan, stage));
+    task.m_pieces.resize(static_cast<size_t>(pieces));
     for (size_t i = 0; i < task.m_pieces.size(); ++i) {
         task.m_pieces[i] = static_cast<int>(i);
     }
--- a/src/serving.h
+++ b/src/serving.h
@@ -298,6 +298,17 @@
 Duration expectedStageTime(const ServingConfiguration &configuration, const ServingRoute &route, size_t stage);
 /** Expected time from the start of @p stage to the end of all stages that build on it, itself included. */
 Duration expectedChainTime(const ServingConfiguration &configuration, const ServingRoute &route, const StagePlan &plan, size_t stage);
+/** Bytes of results by the failure domain that holds them. */
+using BytesByDomain = std::map<std::string, int64_t>;
+/**
+ * Failure domain where a stage moves the fewest bytes; empty when it makes no difference. Each piece reads all of
+ * @p inputs, so a chain stays where its large results are.
+ * @param reader failure domain of the replica that will read the results; empty when it is not known
+ * @param resultBytes of all pieces that @p reader will read
+ */
+std::string nearestDomain(const BytesByDomain &inputs, int pieces, const std::string &reader, int64_t resultBytes);
+/** Bytes that the replica of the run reads of the results of @p stage; 0 when another stage follows it. */
+int64_t finalBytes(const ServingRoute &route, const StagePlan &plan, size_t stage);
 /** How long a stage with large results may wait so that it ends together with the longest chain beside it. */
 Duration stageDelay(const ServingConfiguration &configuration, const ServingRoute &route, const StagePlan &plan, size_t stage);
 
@@ -319,7 +330,7 @@
     TimePoint m_deadline; ///< results are worthless after it
     TimePoint m_due; ///< start by then keeps the objective
     int64_t m_resultBytes = 0; ///< of one piece
-    std::string m_failureDomain; ///< where the results are read; empty: anywhere
+    std::string m_failureDomain; ///< where it moves the fewest bytes; empty: anywhere
     std::vector<int> m_pieces; ///< numbers of the pieces to produce
     std::vector<std::string> m_handles; ///< results by piece number
     size_t m_done = 0;
@@ -501,7 +512,7 @@
 struct PlacementRequest {
     std::vector<PromptPart> m_parts; ///< empty for a plain request
     std::string m_callerDomain; ///< failure domain of this gateway
-    std::map<std::string, int64_t> m_inputBytes; ///< results to read, by failure domain
+    BytesByDomain m_inputBytes; ///< results to read
 };
 
 /** Index of the replica to use; nothing when there is none. */
--- a/src/serving_plan.cpp
+++ b/src/serving_plan.cpp
@@ -144,6 +144,25 @@
     return longest + expectedStageTime(configuration, route, stage);
 }
 
+std::string nearestDomain(const BytesByDomain &inputs, int pieces, const std::string &reader, int64_t resultBytes)
+{
+    BytesByDomain saved;
+    for (const auto &[domain, bytes] : inputs) {
+        saved[domain] += bytes * pieces;
+    }
+    if (!reader.empty()) {
+        saved[reader] += resultBytes;
+    }
+    const auto most =
+        std::max_element(saved.begin(), saved.end(), [](const auto &left, const auto &right) { return left.second < right.second; });
+    return most == saved.end() ? std::string() : most->first;
+}
+
+int64_t finalBytes(const ServingRoute &route, const StagePlan &plan, size_t stage)
+{
+    return isFollowed(route, plan, stage) ? 0 : route.m_stages[stage].m_resultBytes * plan.m_stages[stage].m_pieces;
+}
+
 Duration stageDelay(const ServingConfiguration &configuration, const ServingRoute &route, const StagePlan &plan, size_t stage)
 {
     if (route.m_stages[stage].m_resultBytes < LargeResultBytes || isFollowed(route, plan, stage)) {
--- a/tests/test_serving.cpp
+++ b/tests/test_serving.cpp
@@ -91,6 +91,7 @@
     CPPUNIT_TEST(largeStageStartsJustInTime);
     CPPUNIT_TEST(longQueuesHoldNewRequests);
     CPPUNIT_TEST(hopelessRequestsAreRefused);
+    CPPUNIT_TEST(stagesStayWhereTheirInputsAre);
     CPPUNIT_TEST(promptsGoWhereTheirPartsAre);
     CPPUNIT_TEST(suspectedReplicaIsTheLastChoice);
     CPPUNIT_TEST_SUITE_END();
@@ -395,6 +396,22 @@
         CPPUNIT_ASSERT(decideStart(request, Start) == StartDecision::Refuse);
     }
 
+    // Guards against every piece of a stage reading all of its inputs from another failure domain.
+    void stagesStayWhereTheirInputsAre()
+    {
+        // Six pieces that each read 480 kB weigh more than the 36 kB that the run reads of them.
+        CPPUNIT_ASSERT_EQUAL(std::string("b"), nearestDomain({{"b", 480'000}}, 6, "a", 36'000));
+        CPPUNIT_ASSERT_EQUAL(std::string("b"), nearestDomain({{"a", 60'000}, {"b", 420'000}}, 6, "c", 36'000));
+        // Without inputs, the replica of the run is the only reader.
+        CPPUNIT_ASSERT_EQUAL(std::string("a"), nearestDomain({}, 2, "a", 1'600'000));
+        CPPUNIT_ASSERT_EQUAL(std::string("a"), nearestDomain({{"b", 8'000}}, 1, "a", 800'000));
+        CPPUNIT_ASSERT_EQUAL(std::string(), nearestDomain({}, 1, "", 0));
+        const ServingRoute route = chainRoute();
+        const StagePlan plan = makePlan(route, {2, 1, 0});
+        CPPUNIT_ASSERT_EQUAL(int64_t(0), finalBytes(route, plan, 0));
+        CPPUNIT_ASSERT_EQUAL(route.m_stages[1].m_resultBytes, finalBytes(route, plan, 1));
+    }
+
     static std::vector<ReplicaView> makeViews(size_t count)
     {
         std::vector<ReplicaView> views(count);
