Keep inputs until their readers are done while there is room; learn the room of others

Now: results that were most likely read are freed early only at replicas whose room is over half taken; lost inputs repeat the stages that lead to them, not those beside; a refusal for room says how much others hold, which ends within a lifetime. Open: requests that wait for a stage longer than their inputs live.

--- a/src/gateway_attempts.cpp
+++ b/src/gateway_attempts.cpp
@@ -289,7 +289,8 @@
 {
     if (reader.m_status == HTTP_STATUS_CONFLICT) {
         leaveReplica(gateway, exchange);
-        if (restartPlan(gateway, exchange)) {
+        // The replica does not say which results are gone.
+        if (repeatStages(gateway, exchange, stagesWithPieces(exchange.m_plan))) {
             return;
         }
         if (exchange.m_attempts.m_ran == 0) {
@@ -419,7 +420,7 @@
     exchange.m_attemptTimer.start(gateway.m_loop, InputsFetchedAfter, [&gateway, number, call] {
         Exchange *open = findExchange(gateway, number);
         if (open != nullptr && open->m_call == call) {
-            releaseStages(gateway, *open, true);
+            spareResults(gateway, *open);
         }
     });
 }
@@ -479,17 +480,14 @@
     releaseAfterFetch(gateway, exchange);
 }
 
-bool restartPlan(Gateway &gateway, Exchange &exchange)
+bool repeatStages(Gateway &gateway, Exchange &exchange, const std::vector<size_t> &stages)
 {
-    if (exchange.m_planRestarts >= MaxPlanRestarts) {
+    if (stages.empty() || exchange.m_planRestarts >= MaxPlanRestarts) {
         return false;
     }
     exchange.m_planRestarts += 1;
-    cancelStages(gateway, exchange);
-    for (PlannedStage &stage : exchange.m_plan.m_stages) {
-        if (stage.m_pieces > 0) {
-            stage = PlannedStage{stage.m_pieces, StageState::Waiting, {}, false, false};
-        }
+    for (const size_t stage : stages) {
+        resetStage(gateway, exchange, stage);
     }
     countReason(gateway.m_retries, Reason::NotFound);
     startStages(gateway, exchange);
--- a/src/gateway_internal.h
+++ b/src/gateway_internal.h
@@ -182,8 +182,11 @@
 void finishExchange(Gateway &gateway, Exchange &exchange, int status, const HttpHeaders &headers, std::string_view body);
 void finishStream(Gateway &gateway, Exchange &exchange);
 void breakExchange(Gateway &gateway, Exchange &exchange, Reason reason);
-/** Results of stages are gone at their makers: works all stages out anew. @return false when that was done before. */
-bool restartPlan(Gateway &gateway, Exchange &exchange);
+/**
+ * Results of stages are gone at their makers: works @p stages out anew.
+ * @return false when that was done before, or there are none
+ */
+bool repeatStages(Gateway &gateway, Exchange &exchange, const std::vector<size_t> &stages);
 /** All stages are done: places the request and sends it. */
 void startAttempt(Gateway &gateway, Exchange &exchange);
 void stopAttempt(Gateway &gateway, Exchange &exchange);
@@ -219,6 +222,10 @@
 void noteBacklog(Gateway &gateway, const std::string &service, Duration backlog);
 void startStages(Gateway &gateway, Exchange &exchange);
 void cancelStages(Gateway &gateway, Exchange &exchange);
+/** Drops the work for one stage and frees its results. */
+void resetStage(Gateway &gateway, Exchange &exchange, size_t stage);
+/** The replica of the run has most likely fetched all results. */
+void spareResults(Gateway &gateway, Exchange &exchange);
 /** Frees the results of stages that nobody reads any more; of all stages with @p everything. */
 void releaseStages(Gateway &gateway, Exchange &exchange, bool everything);
 void handleStageResult(Gateway &gateway, uint64_t submission, Reason reason, std::vector<std::string> handles);
@@ -229,6 +236,8 @@
 void cancelEnqueued(Gateway &gateway, const std::string &service, const std::string &submitter, uint64_t submission);
 void cancelSubmitter(Gateway &gateway, const std::string &submitter);
 void releaseHandles(Gateway &gateway, const std::string &service, const std::vector<std::string> &handles);
+/** Results that have most likely been read: freed when room is scarce at their makers. */
+void spareHandles(Gateway &gateway, const std::string &service, const std::vector<std::string> &handles);
 /** Hands the submissions of a lost owner to the next. */
 void resubmitFrom(Gateway &gateway, const std::string &owner);
 void syncQueues(Gateway &gateway);
@@ -238,7 +247,7 @@
 // [SECTION] Peers
 //-----------------------------------------------------------------------------
 
-enum class PeerKind : uint8_t { Hello, Submit, Cancel, Release, Result, InputsRead, Backlog, Ping, Pong, Count };
+enum class PeerKind : uint8_t { Hello, Submit, Cancel, Release, Spare, Result, InputsRead, Backlog, Ping, Pong, Count };
 
 /** One message between gateways. Fields that a kind doesn't use stay empty. */
 struct PeerMessage {
@@ -250,7 +259,7 @@
     int32_t m_stage = 0;
     int32_t m_pieces = 0;
     std::string m_key;
-    std::vector<std::string> m_handles; ///< submit: inputs; release and result: results
+    std::vector<std::string> m_handles; ///< submit: inputs; release, spare and result: results
     int32_t m_rank = 0;
     double m_value = 1;
     int64_t m_leftUs = 0; ///< to the deadline
--- a/src/gateway_peers.cpp
+++ b/src/gateway_peers.cpp
@@ -152,6 +152,9 @@
     case PeerKind::Release:
         releaseHandles(gateway, message.m_service, message.m_handles);
         return;
+    case PeerKind::Spare:
+        spareHandles(gateway, message.m_service, message.m_handles);
+        return;
     case PeerKind::Backlog:
         noteBacklog(gateway, message.m_service, Duration(message.m_backlogUs));
         return;
--- a/src/gateway_stages.cpp
+++ b/src/gateway_stages.cpp
@@ -112,26 +112,68 @@
     });
 }
 
-void releaseFrom(Gateway &gateway, Exchange &exchange, size_t stage)
+using HandleAction = void (*)(Gateway &gateway, const std::string &service, const std::vector<std::string> &handles);
+
+/** Tells the owners of the results of @p stage, this gateway by @p action and others by a message of @p kind. */
+void tellOwners(Gateway &gateway, Exchange &exchange, size_t stage, PeerKind kind, HandleAction action)
 {
-    PlannedStage &planned = exchange.m_plan.m_stages[stage];
-    planned.m_freed = true;
     std::map<std::string, std::vector<std::string>> byOwner;
-    for (const std::string &handle : planned.m_handles) {
+    for (const std::string &handle : exchange.m_plan.m_stages[stage].m_handles) {
         byOwner[exchange.m_resultOwners[handle]].push_back(handle);
     }
     const std::string &service = exchange.m_route->m_stages[stage].m_service;
     for (auto &[owner, handles] : byOwner) {
         PeerMessage message;
-        message.m_kind = PeerKind::Release;
+        message.m_kind = kind;
         message.m_service = service;
         message.m_handles = handles;
         if (owner == gateway.m_settings.m_node || !sendToPeer(gateway, owner, message)) {
-            releaseHandles(gateway, service, handles);
+            action(gateway, service, handles);
         }
     }
 }
 
+void releaseFrom(Gateway &gateway, Exchange &exchange, size_t stage)
+{
+    exchange.m_plan.m_stages[stage].m_freed = true;
+    tellOwners(gateway, exchange, stage, PeerKind::Release, releaseHandles);
+}
+
+void spareFrom(Gateway &gateway, Exchange &exchange, size_t stage)
+{
+    exchange.m_plan.m_stages[stage].m_spare = true;
+    tellOwners(gateway, exchange, stage, PeerKind::Spare, spareHandles);
+}
+
+bool holdsResults(const PlannedStage &stage)
+{
+    return !stage.m_freed && !stage.m_handles.empty();
+}
+
+/** Withdraws the open task of @p stage, wherever it waits. */
+void cancelSubmission(Gateway &gateway, Exchange &exchange, size_t stage)
+{
+    exchange.m_delays.erase(stage);
+    const auto entry = exchange.m_submissions.find(stage);
+    const uint64_t number = entry == exchange.m_submissions.end() ? 0 : entry->second;
+    exchange.m_submissions.erase(stage);
+    const auto submission = gateway.m_submissions.find(number);
+    if (submission == gateway.m_submissions.end()) {
+        return;
+    }
+    const Submission open = submission->second;
+    gateway.m_submissions.erase(submission);
+    if (open.m_owner == gateway.m_settings.m_node) {
+        cancelEnqueued(gateway, open.m_service, open.m_owner, number);
+        return;
+    }
+    PeerMessage message;
+    message.m_kind = PeerKind::Cancel;
+    message.m_service = open.m_service;
+    message.m_submission = number;
+    sendToPeer(gateway, open.m_owner, message);
+}
+
 //-----------------------------------------------------------------------------
 // Owned queues
 //-----------------------------------------------------------------------------
@@ -241,6 +283,14 @@
     observeLoad(owned.m_queue, call, load.size() >= 2 ? load[0] + load[1] : 0, now);
     std::vector<StageOutcome> outcomes;
     std::vector<std::string> unwanted;
+    const auto lacksRoom = [](const Platform::PieceResult &result) {
+        return result.m_handle.empty() && result.m_failure == PieceFailure::NoRoom;
+    };
+    if (std::any_of(results->begin(), results->end(), lacksRoom)) {
+        const auto made =
+            std::count_if(results->begin(), results->end(), [](const Platform::PieceResult &result) { return !result.m_handle.empty(); });
+        observeNoRoom(owned.m_queue, call, static_cast<size_t>(made), now);
+    }
     for (size_t i = 0; i < results->size(); ++i) {
         Platform::PieceResult &result = (*results)[i];
         const bool wanted = owned.m_queue.m_tasks.contains(call.m_items[i].m_ticket);
@@ -522,28 +572,33 @@
 
 void cancelStages(Gateway &gateway, Exchange &exchange)
 {
-    exchange.m_delays.clear();
-    for (const auto &[stage, number] : exchange.m_submissions) {
-        const auto submission = gateway.m_submissions.find(number);
-        if (submission == gateway.m_submissions.end()) {
-            continue;
-        }
-        const Submission open = submission->second;
-        gateway.m_submissions.erase(submission);
-        if (open.m_owner == gateway.m_settings.m_node) {
-            cancelEnqueued(gateway, open.m_service, open.m_owner, number);
-            continue;
-        }
-        PeerMessage message;
-        message.m_kind = PeerKind::Cancel;
-        message.m_service = open.m_service;
-        message.m_submission = number;
-        sendToPeer(gateway, open.m_owner, message);
+    for (size_t stage = 0; stage < exchange.m_plan.m_stages.size(); ++stage) {
+        cancelSubmission(gateway, exchange, stage);
     }
-    exchange.m_submissions.clear();
     releaseStages(gateway, exchange, true);
 }
 
+void resetStage(Gateway &gateway, Exchange &exchange, size_t stage)
+{
+    cancelSubmission(gateway, exchange, stage);
+    PlannedStage &planned = exchange.m_plan.m_stages[stage];
+    if (holdsResults(planned)) {
+        releaseFrom(gateway, exchange, stage);
+    }
+    const int pieces = planned.m_pieces;
+    planned = PlannedStage();
+    planned.m_pieces = pieces;
+}
+
+void spareResults(Gateway &gateway, Exchange &exchange)
+{
+    for (size_t stage = 0; stage < exchange.m_plan.m_stages.size(); ++stage) {
+        if (holdsResults(exchange.m_plan.m_stages[stage])) {
+            spareFrom(gateway, exchange, stage);
+        }
+    }
+}
+
 void releaseStages(Gateway &gateway, Exchange &exchange, bool everything)
 {
     if (exchange.m_route == nullptr) {
@@ -553,11 +608,13 @@
         for (const size_t stage : spentStages(*exchange.m_route, exchange.m_plan)) {
             releaseFrom(gateway, exchange, stage);
         }
+        for (const size_t stage : spareStages(*exchange.m_route, exchange.m_plan)) {
+            spareFrom(gateway, exchange, stage);
+        }
         return;
     }
     for (size_t stage = 0; stage < exchange.m_plan.m_stages.size(); ++stage) {
-        const PlannedStage &planned = exchange.m_plan.m_stages[stage];
-        if (!planned.m_freed && !planned.m_handles.empty()) {
+        if (holdsResults(exchange.m_plan.m_stages[stage])) {
             releaseFrom(gateway, exchange, stage);
         }
     }
@@ -577,7 +634,9 @@
     }
     exchange->m_submissions.erase(open.m_stage);
     PlannedStage &planned = exchange->m_plan.m_stages[open.m_stage];
-    if (reason == Reason::NotFound && restartPlan(gateway, *exchange)) {
+    const std::vector<size_t> repeated =
+        reason == Reason::NotFound ? stagesToRepeat(*exchange->m_route, exchange->m_plan, open.m_stage) : std::vector<size_t>();
+    if (repeatStages(gateway, *exchange, repeated)) {
         return;
     }
     if (reason != Reason::None || handles.size() != static_cast<size_t>(planned.m_pieces)) {
@@ -649,7 +708,7 @@
     for (const std::string &handle : handles) {
         const auto result = owned.m_queue.m_results.find(handle);
         const std::string replica = result == owned.m_queue.m_results.end() ? makerOf(gateway, service, handle) : result->second.m_replica;
-        if (!replica.empty()) {
+        if (!replica.empty() && beginRelease(owned.m_queue, handle)) {
             owned.m_releases[replica].push_back(handle);
         }
     }
@@ -658,6 +717,15 @@
     }
 }
 
+void spareHandles(Gateway &gateway, const std::string &service, const std::vector<std::string> &handles)
+{
+    OwnedQueue &owned = queueOf(gateway, service);
+    for (const std::string &handle : handles) {
+        spareResult(owned.m_queue, handle);
+    }
+    releaseHandles(gateway, service, scarceSpareResults(owned.m_queue));
+}
+
 void resubmitFrom(Gateway &gateway, const std::string &owner)
 {
     std::vector<Submission> lost;
--- a/src/serving.h
+++ b/src/serving.h
@@ -266,6 +266,7 @@
     StageState m_state = StageState::Waiting;
     std::vector<std::string> m_handles; ///< results, in order of the pieces
     bool m_freed = false;
+    bool m_spare = false; ///< its readers have most likely fetched its results, which may go where room is scarce
     bool m_inputsRead = false; ///< its replicas have fetched the results it builds on
 };
 
@@ -290,10 +291,15 @@
 /** Handles of the stages that no other stage follows. */
 std::vector<std::string> finalInputs(const ServingRoute &route, const StagePlan &plan);
 bool isPlanDone(const StagePlan &plan);
+std::vector<size_t> stagesWithPieces(const StagePlan &plan);
 /** Stages that may be submitted now, as their inputs are there. */
 std::vector<size_t> readyStages(const ServingRoute &route, const StagePlan &plan);
-/** Stages whose results have been read by all stages that follow, and that no run reads. */
+/** Stages that all stages which follow have most likely read, and that no run reads: a piece that fails reads them again. */
+std::vector<size_t> spareStages(const ServingRoute &route, const StagePlan &plan);
+/** Stages whose followers are all done, and that no run reads. */
 std::vector<size_t> spentStages(const ServingRoute &route, const StagePlan &plan);
+/** Stages to work out again when inputs of @p stage are gone: it, all that it builds on, and what else waits for those. */
+std::vector<size_t> stagesToRepeat(const ServingRoute &route, const StagePlan &plan, size_t stage);
 /** Expected time of @p stage, with most of a batch full and a short wait. */
 Duration expectedStageTime(const ServingConfiguration &configuration, const ServingRoute &route, size_t stage);
 /** Expected time from the start of @p stage to the end of all stages that build on it, itself included. */
@@ -361,17 +367,27 @@
     bool m_usable = true; ///< registered and not draining
     int m_calls = 0; ///< open calls
     int64_t m_heldBytes = 0; ///< results that were not freed
+    int64_t m_otherBytes = 0; ///< results of other owners, worked out from a refusal for room; ends within a result's lifetime
+    TimePoint m_otherSeenAt;
     TimePoint m_pausedUntil; ///< after a failure or a rejection
     int m_failures = 0; ///< in a row
     double m_speed = 1; ///< observed time over expected time
     TimePoint m_sharedUntil; ///< calls of others were seen there: the turn of a call is not known
 };
 
-/** A result that takes room at its replica. */
+enum class ResultState : uint8_t {
+    Held,
+    Spare, ///< most likely read
+    Releasing, ///< its replica was told to drop it
+    Dropped,
+};
+
+/** A result at its replica, known until the end of its lifetime. */
 struct HeldResult {
     std::string m_replica;
-    int64_t m_bytes = 0;
+    int64_t m_bytes = 0; ///< room that it takes
     TimePoint m_endsAt; ///< the replica drops it by then
+    ResultState m_state = ResultState::Held;
 };
 
 struct StageQueue {
@@ -427,10 +443,24 @@
 std::optional<StageOutcome> completePiece(StageQueue &queue, const StageCall &call, size_t item, std::string handle, TimePoint now);
 /** One piece of a call failed; it waits again, or its task ends. */
 std::optional<StageOutcome> failPiece(StageQueue &queue, const StageCall &call, size_t item, PieceFailure failure);
+/**
+ * The replica made @p made pieces of a call and had no room for others: what this queue does not hold there belongs to
+ * another owner, or to one that has ended. Load: all gateways restarted, or a queue that has just changed its owner.
+ */
+void observeNoRoom(StageQueue &queue, const StageCall &call, size_t made, TimePoint now);
 /** The replica said how many calls it works on and keeps waiting, apart from the one that has just ended. */
 void observeLoad(StageQueue &queue, const StageCall &call, int calls, TimePoint now);
 /** The call has ended, after its pieces were reported. */
 void endCall(StageQueue &queue, uint64_t call, bool failed, TimePoint now);
+/** A result has most likely been read; see scarceSpareResults(). */
+void spareResult(StageQueue &queue, const std::string &handle);
+/**
+ * Spare results to free now: those at replicas whose room is scarce. Elsewhere they stay until their readers
+ * are done, as a piece that is sent again after a failure fetches its inputs again.
+ */
+std::vector<std::string> scarceSpareResults(const StageQueue &queue);
+/** The replica is to be told to drop a result. @return false when it was told before */
+bool beginRelease(StageQueue &queue, const std::string &handle);
 /** The replica has dropped a result: its room is free. */
 void releaseResult(StageQueue &queue, const std::string &handle);
 /** Next moment at which planCalls() or expireTasks() may have work without an event. */
--- a/src/serving_plan.cpp
+++ b/src/serving_plan.cpp
@@ -27,19 +27,46 @@
     });
 }
 
-bool haveFollowersRead(const ServingRoute &route, const StagePlan &plan, size_t stage)
+enum class FollowerState : uint8_t { HasRead, IsDone };
+
+bool areFollowers(FollowerState state, const ServingRoute &route, const StagePlan &plan, size_t stage)
 {
     for (size_t other = 0; other < route.m_stages.size(); ++other) {
         const std::vector<size_t> &after = route.m_stages[other].m_after;
         const PlannedStage &follower = plan.m_stages[other];
         const bool reads = std::find(after.begin(), after.end(), stage) != after.end();
-        if (reads && follower.m_state != StageState::Done && !follower.m_inputsRead) {
+        const bool hasRead = state == FollowerState::HasRead && follower.m_inputsRead;
+        if (reads && follower.m_state != StageState::Done && !hasRead) {
             return false;
         }
     }
     return true;
 }
 
+/** Stages with results that no run reads, and whose followers are in @p state. */
+std::vector<size_t> stagesBefore(FollowerState state, const ServingRoute &route, const StagePlan &plan)
+{
+    std::vector<size_t> stages;
+    for (size_t stage = 0; stage < plan.m_stages.size(); ++stage) {
+        const PlannedStage &planned = plan.m_stages[stage];
+        const bool holdsResults = planned.m_state == StageState::Done && !planned.m_freed && !planned.m_handles.empty();
+        if (holdsResults && isFollowed(route, plan, stage) && areFollowers(state, route, plan, stage)) {
+            stages.push_back(stage);
+        }
+    }
+    return stages;
+}
+
+void addAncestors(const ServingRoute &route, size_t stage, std::vector<bool> &marked)
+{
+    for (const size_t input : route.m_stages[stage].m_after) {
+        if (input < marked.size() && !marked[input]) {
+            marked[input] = true;
+            addAncestors(route, input, marked);
+        }
+    }
+}
+
 constexpr Duration StageWait = milliseconds(80); ///< until a replica is free, and the ways to it and back
 constexpr double SizeGain = 0.02; ///< weight of a new request in the moving mean
 constexpr double SmallestShare = 0.3; ///< part of a request's worth that does not depend on its size
@@ -98,6 +125,17 @@
         plan.m_stages.begin(), plan.m_stages.end(), [](const PlannedStage &stage) { return stage.m_state == StageState::Done; });
 }
 
+std::vector<size_t> stagesWithPieces(const StagePlan &plan)
+{
+    std::vector<size_t> stages;
+    for (size_t stage = 0; stage < plan.m_stages.size(); ++stage) {
+        if (plan.m_stages[stage].m_pieces > 0) {
+            stages.push_back(stage);
+        }
+    }
+    return stages;
+}
+
 std::vector<size_t> readyStages(const ServingRoute &route, const StagePlan &plan)
 {
     std::vector<size_t> ready;
@@ -109,17 +147,34 @@
     return ready;
 }
 
+std::vector<size_t> spareStages(const ServingRoute &route, const StagePlan &plan)
+{
+    std::vector<size_t> stages = stagesBefore(FollowerState::HasRead, route, plan);
+    std::erase_if(stages, [&plan](size_t stage) { return plan.m_stages[stage].m_spare; });
+    return stages;
+}
+
 std::vector<size_t> spentStages(const ServingRoute &route, const StagePlan &plan)
 {
-    std::vector<size_t> spent;
-    for (size_t stage = 0; stage < plan.m_stages.size(); ++stage) {
-        const PlannedStage &planned = plan.m_stages[stage];
-        if (planned.m_state == StageState::Done && !planned.m_freed && !planned.m_handles.empty() && isFollowed(route, plan, stage)
-            && haveFollowersRead(route, plan, stage)) {
-            spent.push_back(stage);
+    return stagesBefore(FollowerState::IsDone, route, plan);
+}
+
+std::vector<size_t> stagesToRepeat(const ServingRoute &route, const StagePlan &plan, size_t stage)
+{
+    std::vector<bool> marked(plan.m_stages.size(), false);
+    marked[stage] = true;
+    addAncestors(route, stage, marked);
+    std::vector<size_t> repeated;
+    for (size_t other = 0; other < plan.m_stages.size(); ++other) {
+        const std::vector<size_t> &after = route.m_stages[other].m_after;
+        const bool readsMarked =
+            std::any_of(after.begin(), after.end(), [&](size_t input) { return input < marked.size() && marked[input]; });
+        marked[other] = marked[other] || (readsMarked && plan.m_stages[other].m_state != StageState::Done);
+        if (marked[other] && plan.m_stages[other].m_pieces > 0) {
+            repeated.push_back(other);
         }
     }
-    return spent;
+    return repeated;
 }
 
 Duration expectedStageTime(const ServingConfiguration &configuration, const ServingRoute &route, size_t stage)
--- a/src/serving_queue.cpp
+++ b/src/serving_queue.cpp
@@ -13,7 +13,9 @@
 constexpr Duration MaxNearWait = milliseconds(200); ///< about half of a call
 constexpr Duration NearMargin = milliseconds(300); ///< left before the due time of work that waits for a replica near its reader
 constexpr Duration SharedMemory = seconds(2); ///< a replica counts as shared for this time after calls of others were seen
-constexpr double UsableRoom = 0.85; ///< of a replica's room for results: their sizes are known approximately only
+constexpr double UsableRoom = 0.95; ///< of a replica's room for results: their sizes are known approximately only
+constexpr Duration RoomCheck = milliseconds(50); ///< while results of other owners end one by one
+constexpr double ScarceRoom = 0.5; ///< of the usable room: a call reserves its room while results of the one before are held
 constexpr int ProbeBatch = 2; ///< pieces for a replica that failed
 constexpr Duration SendAhead = milliseconds(20); ///< covers the way to the replica and back
 constexpr Duration DueSlack = milliseconds(50); ///< a task this late still counts as in time
@@ -152,9 +154,20 @@
     return room <= 0 ? std::numeric_limits<int64_t>::max() : static_cast<int64_t>(static_cast<double>(room) * UsableRoom);
 }
 
-int64_t roomLeft(const StageQueue &queue, const StageWorker &worker)
+/** Results of other owners end at different times: those of calls just before the refusal last for a whole lifetime. */
+int64_t otherBytes(const StageQueue &queue, const StageWorker &worker, TimePoint now)
 {
-    return usableRoom(queue) - worker.m_heldBytes;
+    const Duration left = worker.m_otherSeenAt + queue.m_limits.m_resultLifetime - now;
+    if (worker.m_otherBytes == 0 || left <= Duration(0)) {
+        return 0;
+    }
+    const double share = static_cast<double>(left.count()) / static_cast<double>(queue.m_limits.m_resultLifetime.count());
+    return static_cast<int64_t>(static_cast<double>(worker.m_otherBytes) * std::min(1.0, share));
+}
+
+int64_t roomLeft(const StageQueue &queue, const StageWorker &worker, TimePoint now)
+{
+    return usableRoom(queue) - worker.m_heldBytes - otherBytes(queue, worker, now);
 }
 
 /** Results of @p bytes that fit into @p room. */
@@ -170,24 +183,24 @@
  * Whether @p task has to leave the rest of @p call to others. Where room is scarcer than places in the batch, a task goes
  * in one call: the results of one that is split take room until its last piece is done, and nobody reads them before.
  */
-bool isSplitByRoom(const StageQueue &queue, const StageWorker &worker, const StageTask &task, const StageCall &call, size_t batch)
+bool isSplitByRoom(const StageQueue &queue, int64_t room, const StageTask &task, const StageCall &call, size_t batch)
 {
-    const size_t fitting = resultsIn(roomLeft(queue, worker) - call.m_resultBytes, task.m_resultBytes);
+    const size_t fitting = resultsIn(room - call.m_resultBytes, task.m_resultBytes);
     const bool roomBinds = fitting < batch - call.m_items.size();
     const size_t empty = std::min(batch, resultsIn(usableRoom(queue), task.m_resultBytes));
     return roomBinds && fitting < task.m_pieces.size() && task.m_pieces.size() <= empty;
 }
 
-/** Moves pieces of @p task into @p call as far as batch and room go. */
-void takePieces(const StageQueue &queue, const StageWorker &worker, StageTask &task, StageCall &call)
+/** Moves pieces of @p task into @p call as far as batch and @p room go. */
+void takePieces(const StageQueue &queue, const StageWorker &worker, int64_t room, StageTask &task, StageCall &call)
 {
     // A replica that failed gets little work until it has answered, as what is lost there has to be sent again.
     const auto batch = static_cast<size_t>(worker.m_failures > 0 ? std::min(ProbeBatch, queue.m_limits.m_batch) : queue.m_limits.m_batch);
-    if (isSplitByRoom(queue, worker, task, call, batch)) {
+    if (isSplitByRoom(queue, room, task, call, batch)) {
         return;
     }
     while (!task.m_pieces.empty() && call.m_items.size() < batch) {
-        if (call.m_resultBytes + task.m_resultBytes > roomLeft(queue, worker)) {
+        if (call.m_resultBytes + task.m_resultBytes > room) {
             return;
         }
         call.m_items.push_back({task.m_ticket, task.m_pieces.front()});
@@ -224,12 +237,13 @@
 /** Fills a call with those of @p tickets that suit: work whose results are read near the replica first, then any. */
 void takeTasks(StageQueue &queue, const StageWorker &worker, const std::vector<uint64_t> &tickets, StageCall &call, TimePoint now)
 {
+    const int64_t room = roomLeft(queue, worker, now);
     for (const bool nearOnly : {true, false}) {
         for (const uint64_t ticket : tickets) {
             StageTask &task = queue.m_tasks.at(ticket);
             const bool isNear = suitsDomain(task, worker);
             if (nearOnly ? isNear : !isNear && !waitsForNear(queue, task, now)) {
-                takePieces(queue, worker, task, call);
+                takePieces(queue, worker, room, task, call);
             }
         }
     }
@@ -439,8 +453,8 @@
     const StageCall::Item &piece = call.m_items[item];
     const auto task = queue.m_tasks.find(piece.m_ticket);
     const int64_t bytes = call.m_resultBytes / static_cast<int64_t>(call.m_items.size());
-    queue.m_results[handle] = {
-        call.m_replica, task == queue.m_tasks.end() ? bytes : task->second.m_resultBytes, now + queue.m_limits.m_resultLifetime};
+    const int64_t room = task == queue.m_tasks.end() ? bytes : task->second.m_resultBytes;
+    queue.m_results[handle] = {call.m_replica, room, now + queue.m_limits.m_resultLifetime, ResultState::Held};
     if (task == queue.m_tasks.end()) {
         return std::nullopt;
     }
@@ -476,6 +490,18 @@
     return std::nullopt;
 }
 
+void observeNoRoom(StageQueue &queue, const StageCall &call, size_t made, TimePoint now)
+{
+    const auto worker = queue.m_workers.find(call.m_replica);
+    if (worker == queue.m_workers.end() || call.m_items.empty()) {
+        return;
+    }
+    const int64_t madeBytes = call.m_resultBytes / static_cast<int64_t>(call.m_items.size()) * static_cast<int64_t>(made);
+    const int64_t ours = worker->second.m_heldBytes - call.m_resultBytes;
+    worker->second.m_otherBytes = std::max<int64_t>(0, queue.m_limits.m_roomBytes - ours - madeBytes);
+    worker->second.m_otherSeenAt = now;
+}
+
 void observeLoad(StageQueue &queue, const StageCall &call, int calls, TimePoint now)
 {
     const auto worker = queue.m_workers.find(call.m_replica);
@@ -514,6 +540,41 @@
     queue.m_calls.erase(open);
 }
 
+void spareResult(StageQueue &queue, const std::string &handle)
+{
+    const auto result = queue.m_results.find(handle);
+    if (result != queue.m_results.end() && result->second.m_state == ResultState::Held) {
+        result->second.m_state = ResultState::Spare;
+    }
+}
+
+std::vector<std::string> scarceSpareResults(const StageQueue &queue)
+{
+    const auto scarce = static_cast<int64_t>(static_cast<double>(usableRoom(queue)) * ScarceRoom);
+    std::vector<std::string> handles;
+    for (const auto &[handle, result] : queue.m_results) {
+        const auto worker = queue.m_workers.find(result.m_replica);
+        const bool isSpare = result.m_state == ResultState::Spare;
+        if (isSpare && worker != queue.m_workers.end() && worker->second.m_heldBytes > scarce) {
+            handles.push_back(handle);
+        }
+    }
+    return handles;
+}
+
+bool beginRelease(StageQueue &queue, const std::string &handle)
+{
+    const auto result = queue.m_results.find(handle);
+    if (result == queue.m_results.end()) {
+        return true; // made for another owner
+    }
+    const bool isFirst = result->second.m_state == ResultState::Held || result->second.m_state == ResultState::Spare;
+    if (isFirst) {
+        result->second.m_state = ResultState::Releasing;
+    }
+    return isFirst;
+}
+
 void releaseResult(StageQueue &queue, const std::string &handle)
 {
     const auto result = queue.m_results.find(handle);
@@ -524,7 +585,8 @@
     if (worker != queue.m_workers.end()) {
         worker->second.m_heldBytes -= result->second.m_bytes;
     }
-    queue.m_results.erase(result);
+    result->second.m_bytes = 0;
+    result->second.m_state = ResultState::Dropped;
 }
 
 std::optional<TimePoint> nextQueueEvent(const StageQueue &queue, TimePoint now)
@@ -540,6 +602,9 @@
         if (now < worker.m_pausedUntil) {
             next = std::min(next, worker.m_pausedUntil);
         }
+        if (otherBytes(queue, worker, now) > 0) {
+            next = std::min(next, now + RoomCheck);
+        }
         if (worker.m_calls == queue.m_limits.m_slots) {
             const TimePoint ahead = lastEnd(queue, worker) - SendAhead;
             next = ahead > now ? std::min(next, ahead) : next;
