Plan stage calls in n log n, and only when a replica is free

Each plan searched all kept tasks for each late one, every call for each replica, and every result of the last four seconds. Now candidates stand in a heap, replicas remember when their calls end and what they hold, spare results have an index, and nothing is sorted while no replica is free.

--- a/src/serving.h
+++ b/src/serving.h
@@ -348,6 +348,7 @@
 struct StageCall {
     uint64_t m_call = 0;
     std::string m_replica;
+    int64_t m_born = 0; ///< incarnation of the replica
     struct Item {
         uint64_t m_ticket = 0;
         int m_piece = 0;
@@ -366,6 +367,7 @@
     int64_t m_born = 0; ///< start of the incarnation, Unix milliseconds
     bool m_usable = true; ///< registered and not draining
     int m_calls = 0; ///< open calls
+    TimePoint m_busyUntil; ///< expected end of the last open call
     int64_t m_heldBytes = 0; ///< results that were not freed
     int64_t m_otherBytes = 0; ///< results of other owners, worked out from a refusal for room; ends within a result's lifetime
     TimePoint m_otherSeenAt;
@@ -397,7 +399,9 @@
     std::map<uint64_t, StageTask> m_tasks; ///< by ticket; with at least one piece not done
     std::vector<uint64_t> m_waiting; ///< tickets with pieces to send
     std::map<uint64_t, StageCall> m_calls;
-    std::map<std::string, HeldResult> m_results; ///< by handle
+    std::unordered_map<std::string, HeldResult> m_results; ///< by handle
+    std::unordered_set<std::string> m_spareResults; ///< handles
+    TimePoint m_nextSweep; ///< results whose lifetime is over are dropped by then
     uint64_t m_nextTicket = 1;
     uint64_t m_nextCall = 1;
 };
--- a/src/serving_queue.cpp
+++ b/src/serving_queue.cpp
@@ -1,6 +1,7 @@
 #include <algorithm>
 #include <cmath>
 #include <limits>
+#include <queue>
 
 #include "serving.h"
 
@@ -15,6 +16,7 @@
 constexpr Duration SharedMemory = seconds(2); ///< a replica counts as shared for this time after calls of others were seen
 constexpr double UsableRoom = 0.95; ///< of a replica's room for results: their sizes are known approximately only
 constexpr Duration RoomCheck = milliseconds(50); ///< while results of other owners end one by one
+constexpr Duration SweepInterval = milliseconds(100); ///< of looking through thousands of results for those that have ended
 constexpr double ScarceRoom = 0.5; ///< of the usable room: a call reserves its room while results of the one before are held
 constexpr int ProbeBatch = 2; ///< pieces for a replica that failed
 constexpr Duration SendAhead = milliseconds(20); ///< covers the way to the replica and back
@@ -43,16 +45,10 @@
     return pieces;
 }
 
-/** The end of the call that @p worker works on, when it has one only. */
-TimePoint lastEnd(const StageQueue &queue, const StageWorker &worker)
+/** The expected end of the calls that @p worker has; long ago when it has none. */
+TimePoint lastEnd(const StageWorker &worker)
 {
-    TimePoint end{};
-    for (const auto &[id, call] : queue.m_calls) {
-        if (call.m_replica == worker.m_id) {
-            end = std::max(end, expectedEnd(queue, call, worker.m_speed));
-        }
-    }
-    return end;
+    return worker.m_calls > 0 ? worker.m_busyUntil : TimePoint();
 }
 
 bool isFree(const StageQueue &queue, const StageWorker &worker, size_t waiting, TimePoint now)
@@ -67,7 +63,7 @@
     }
     const bool fillsBatch = waiting >= static_cast<size_t>(queue.m_limits.m_batch);
     return worker.m_calls == slots && queue.m_limits.m_queue > 0 && worker.m_failures == 0 && fillsBatch
-        && lastEnd(queue, worker) - now <= SendAhead;
+        && lastEnd(worker) - now <= SendAhead;
 }
 
 /** Time that one more batch takes from the queue while all usable replicas work. */
@@ -84,7 +80,7 @@
     std::optional<TimePoint> first;
     for (const auto &[id, worker] : queue.m_workers) {
         if (worker.m_usable) {
-            const TimePoint free = std::max({now, worker.m_pausedUntil, lastEnd(queue, worker)});
+            const TimePoint free = std::max({now, worker.m_pausedUntil, lastEnd(worker)});
             first = first ? std::min(*first, free) : free;
         }
     }
@@ -96,55 +92,65 @@
     return task.m_value / static_cast<double>(std::max<size_t>(1, task.m_pieces.size()));
 }
 
-/** Tickets that can keep their due time, in order of it; the others stay in @p waiting. */
-std::vector<uint64_t> takeInTime(const StageQueue &queue, std::vector<uint64_t> &waiting, TimePoint now)
+/** Tasks with pieces to send, in the order in which they go. */
+struct WaitingOrder {
+    std::vector<StageTask *> m_inTime; ///< can keep their due time, in order of it
+    std::vector<StageTask *> m_late;
+};
+
+/** Parts @p tasks, which are in order of their due times. Takes n log n: a queue may be thousands of pieces long. */
+WaitingOrder partInTime(const StageQueue &queue, const std::vector<StageTask *> &tasks, TimePoint now)
 {
+    using Candidate = std::pair<double, size_t>; // value for each piece, index
+    std::priority_queue<Candidate, std::vector<Candidate>, std::greater<>> least;
+    std::vector<bool> putOff(tasks.size(), false);
     const double interval = static_cast<double>(batchInterval(queue).count()) / std::max(1, queue.m_limits.m_batch);
     const TimePoint start = firstFree(queue, now);
-    std::vector<uint64_t> kept;
-    std::vector<uint64_t> putOff;
-    size_t pieces = 0; // of the kept tasks
-    for (const uint64_t ticket : waiting) {
-        const StageTask &task = queue.m_tasks.at(ticket);
+    WaitingOrder order;
+    size_t pieces = 0; // of the tasks that are not put off
+    for (size_t i = 0; i < tasks.size(); ++i) {
+        const StageTask &task = *tasks[i];
         const Duration ahead(static_cast<int64_t>(static_cast<double>(pieces) * interval));
-        kept.push_back(ticket);
-        pieces += task.m_pieces.size();
-        if (start + ahead <= task.m_due + DueSlack) {
+        const bool isPast = now > task.m_due + DueSlack;
+        if (!isPast) {
+            pieces += task.m_pieces.size();
+            least.emplace(valueDensity(task), i);
+        }
+        if (!isPast && start + ahead <= task.m_due + DueSlack) {
             continue;
         }
-        const auto least = std::min_element(kept.begin(), kept.end(), [&](uint64_t left, uint64_t right) {
-            return valueDensity(queue.m_tasks.at(left)) < valueDensity(queue.m_tasks.at(right));
-        });
         // A task past its due time can't be saved by putting off another.
-        const auto victim = now > task.m_due + DueSlack ? std::prev(kept.end()) : least;
-        pieces -= queue.m_tasks.at(*victim).m_pieces.size();
-        putOff.push_back(*victim);
-        kept.erase(victim);
+        const size_t victim = isPast ? i : least.top().second;
+        if (!isPast) {
+            least.pop();
+            pieces -= tasks[victim]->m_pieces.size();
+        }
+        putOff[victim] = true;
+        order.m_late.push_back(tasks[victim]);
     }
-    waiting = std::move(putOff);
-    return kept;
+    for (size_t i = 0; i < tasks.size(); ++i) {
+        if (!putOff[i]) {
+            order.m_inTime.push_back(tasks[i]);
+        }
+    }
+    return order;
 }
 
-bool isMoreUrgent(const StageTask &left, const StageTask &right)
+bool isMoreUrgent(const StageTask *left, const StageTask *right)
 {
-    return left.m_rank != right.m_rank ? left.m_rank < right.m_rank : left.m_deadline < right.m_deadline;
+    return left->m_rank != right->m_rank ? left->m_rank < right->m_rank : left->m_deadline < right->m_deadline;
 }
 
-/** Tickets with pieces to send, in the order in which they go. */
-struct WaitingOrder {
-    std::vector<uint64_t> m_inTime; ///< can keep their due time
-    std::vector<uint64_t> m_late;
-};
-
-WaitingOrder sortWaiting(const StageQueue &queue, TimePoint now)
+WaitingOrder sortWaiting(StageQueue &queue, TimePoint now)
 {
-    const auto taskOf = [&queue](uint64_t ticket) -> const StageTask & { return queue.m_tasks.at(ticket); };
-    WaitingOrder order;
-    std::vector<uint64_t> &late = order.m_late;
-    late = queue.m_waiting;
-    std::stable_sort(late.begin(), late.end(), [&](uint64_t left, uint64_t right) { return taskOf(left).m_due < taskOf(right).m_due; });
-    order.m_inTime = takeInTime(queue, late, now);
-    std::stable_sort(late.begin(), late.end(), [&](uint64_t left, uint64_t right) { return isMoreUrgent(taskOf(left), taskOf(right)); });
+    std::vector<StageTask *> tasks;
+    tasks.reserve(queue.m_waiting.size());
+    for (const uint64_t ticket : queue.m_waiting) {
+        tasks.push_back(&queue.m_tasks.at(ticket));
+    }
+    std::stable_sort(tasks.begin(), tasks.end(), [](const StageTask *left, const StageTask *right) { return left->m_due < right->m_due; });
+    WaitingOrder order = partInTime(queue, tasks, now);
+    std::stable_sort(order.m_late.begin(), order.m_late.end(), isMoreUrgent);
     return order;
 }
 
@@ -220,7 +226,7 @@
     std::optional<TimePoint> first;
     for (const auto &[id, worker] : queue.m_workers) {
         if (worker.m_usable && worker.m_failures == 0 && suitsDomain(task, worker)) {
-            const TimePoint free = std::max({now, worker.m_pausedUntil, lastEnd(queue, worker)});
+            const TimePoint free = std::max({now, worker.m_pausedUntil, lastEnd(worker)});
             first = first ? std::min(*first, free) : free;
         }
     }
@@ -234,26 +240,29 @@
     return near && *near - now <= MaxNearWait && *near + NearMargin <= task.m_due;
 }
 
-/** Fills a call with those of @p tickets that suit: work whose results are read near the replica first, then any. */
-void takeTasks(StageQueue &queue, const StageWorker &worker, const std::vector<uint64_t> &tickets, StageCall &call, TimePoint now)
+/** Fills a call with those of @p tasks that suit: work whose results are read near the replica first, then any. */
+void takeTasks(const StageQueue &queue, const StageWorker &worker, const std::vector<StageTask *> &tasks, StageCall &call, TimePoint now)
 {
     const int64_t room = roomLeft(queue, worker, now);
     for (const bool nearOnly : {true, false}) {
-        for (const uint64_t ticket : tickets) {
-            StageTask &task = queue.m_tasks.at(ticket);
-            const bool isNear = suitsDomain(task, worker);
-            if (nearOnly ? isNear : !isNear && !waitsForNear(queue, task, now)) {
-                takePieces(queue, worker, room, task, call);
+        for (StageTask *task : tasks) {
+            if (call.m_items.size() >= static_cast<size_t>(queue.m_limits.m_batch)) {
+                return;
+            }
+            const bool isNear = suitsDomain(*task, worker);
+            if (nearOnly ? isNear : !isNear && !waitsForNear(queue, *task, now)) {
+                takePieces(queue, worker, room, *task, call);
             }
         }
     }
 }
 
 /** Fills a call for one replica: what keeps its due time goes before what is late wherever its results are read. */
-StageCall fillCall(StageQueue &queue, const StageWorker &worker, const WaitingOrder &order, TimePoint now)
+StageCall fillCall(const StageQueue &queue, const StageWorker &worker, const WaitingOrder &order, TimePoint now)
 {
     StageCall call;
     call.m_replica = worker.m_id;
+    call.m_born = worker.m_born;
     takeTasks(queue, worker, order.m_inTime, call, now);
     takeTasks(queue, worker, order.m_late, call, now);
     return call;
@@ -313,6 +322,10 @@
 /** Results that nobody freed are gone at the replica by the end of their lifetime. */
 void dropOldResults(StageQueue &queue, TimePoint now)
 {
+    if (now < queue.m_nextSweep) {
+        return;
+    }
+    queue.m_nextSweep = now + SweepInterval;
     for (auto result = queue.m_results.begin(); result != queue.m_results.end();) {
         if (now < result->second.m_endsAt) {
             ++result;
@@ -322,6 +335,7 @@
         if (worker != queue.m_workers.end()) {
             worker->second.m_heldBytes -= result->second.m_bytes;
         }
+        queue.m_spareResults.erase(result->first);
         result = queue.m_results.erase(result);
     }
 }
@@ -334,9 +348,13 @@
     const bool isNew = worker.m_born != record.m_born || worker.m_address != record.m_address;
     if (isNew) {
         std::erase_if(queue.m_results, [&record](const auto &entry) { return entry.second.m_replica == record.m_id; });
-        const int calls = worker.m_calls; // of the incarnation before; they end by themselves
+        std::erase_if(queue.m_spareResults, [&queue](const std::string &handle) { return !queue.m_results.contains(handle); });
+        // Calls to the incarnation before end by themselves.
+        const int calls = worker.m_calls;
+        const TimePoint busyUntil = worker.m_busyUntil;
         worker = StageWorker();
         worker.m_calls = calls;
+        worker.m_busyUntil = busyUntil;
     }
     worker.m_id = record.m_id;
     worker.m_address = record.m_address;
@@ -376,14 +394,19 @@
     if (queue.m_waiting.empty()) {
         return calls;
     }
+    const std::vector<StageWorker *> workers = freeWorkers(queue, now);
+    if (workers.empty()) {
+        return calls;
+    }
     const WaitingOrder order = sortWaiting(queue, now);
-    for (StageWorker *worker : freeWorkers(queue, now)) {
+    for (StageWorker *worker : workers) {
         StageCall call = fillCall(queue, *worker, order, now);
         if (call.m_items.empty()) {
             continue;
         }
         call.m_call = queue.m_nextCall++;
         call.m_sentAt = now;
+        worker->m_busyUntil = std::max(lastEnd(*worker), expectedEnd(queue, call, worker->m_speed));
         worker->m_calls += 1;
         worker->m_heldBytes += call.m_resultBytes;
         queue.m_calls.emplace(call.m_call, call);
@@ -453,8 +476,12 @@
     const StageCall::Item &piece = call.m_items[item];
     const auto task = queue.m_tasks.find(piece.m_ticket);
     const int64_t bytes = call.m_resultBytes / static_cast<int64_t>(call.m_items.size());
-    const int64_t room = task == queue.m_tasks.end() ? bytes : task->second.m_resultBytes;
-    queue.m_results[handle] = {call.m_replica, room, now + queue.m_limits.m_resultLifetime, ResultState::Held};
+    const auto worker = queue.m_workers.find(call.m_replica);
+    if (worker != queue.m_workers.end() && worker->second.m_born == call.m_born) {
+        const int64_t room = task == queue.m_tasks.end() ? bytes : task->second.m_resultBytes;
+        queue.m_results[handle] = {call.m_replica, room, now + queue.m_limits.m_resultLifetime, ResultState::Held};
+        worker->second.m_heldBytes += room;
+    }
     if (task == queue.m_tasks.end()) {
         return std::nullopt;
     }
@@ -520,14 +547,9 @@
     if (worker != queue.m_workers.end()) {
         StageWorker &replica = worker->second;
         replica.m_calls -= 1;
-        int64_t held = 0;
-        for (const auto &[handle, result] : queue.m_results) {
-            held += result.m_replica == replica.m_id ? result.m_bytes : 0;
-        }
-        for (const auto &[id, other] : queue.m_calls) {
-            held += id != call && other.m_replica == replica.m_id ? other.m_resultBytes : 0;
+        if (replica.m_born == open->second.m_born) {
+            replica.m_heldBytes -= open->second.m_resultBytes; // what it made counts by itself
         }
-        replica.m_heldBytes = held;
         if (failed) {
             const Duration pause = FailurePause * (int64_t{1} << std::min(replica.m_failures, MaxPauseDoublings));
             replica.m_failures += 1;
@@ -545,6 +567,7 @@
     const auto result = queue.m_results.find(handle);
     if (result != queue.m_results.end() && result->second.m_state == ResultState::Held) {
         result->second.m_state = ResultState::Spare;
+        queue.m_spareResults.insert(handle);
     }
 }
 
@@ -552,10 +575,9 @@
 {
     const auto scarce = static_cast<int64_t>(static_cast<double>(usableRoom(queue)) * ScarceRoom);
     std::vector<std::string> handles;
-    for (const auto &[handle, result] : queue.m_results) {
-        const auto worker = queue.m_workers.find(result.m_replica);
-        const bool isSpare = result.m_state == ResultState::Spare;
-        if (isSpare && worker != queue.m_workers.end() && worker->second.m_heldBytes > scarce) {
+    for (const std::string &handle : queue.m_spareResults) {
+        const auto worker = queue.m_workers.find(queue.m_results.at(handle).m_replica);
+        if (worker != queue.m_workers.end() && worker->second.m_heldBytes > scarce) {
             handles.push_back(handle);
         }
     }
@@ -571,6 +593,7 @@
     const bool isFirst = result->second.m_state == ResultState::Held || result->second.m_state == ResultState::Spare;
     if (isFirst) {
         result->second.m_state = ResultState::Releasing;
+        queue.m_spareResults.erase(handle);
     }
     return isFirst;
 }
@@ -587,6 +610,7 @@
     }
     result->second.m_bytes = 0;
     result->second.m_state = ResultState::Dropped;
+    queue.m_spareResults.erase(handle);
 }
 
 std::optional<TimePoint> nextQueueEvent(const StageQueue &queue, TimePoint now)
@@ -606,7 +630,7 @@
             next = std::min(next, now + RoomCheck);
         }
         if (worker.m_calls == queue.m_limits.m_slots) {
-            const TimePoint ahead = lastEnd(queue, worker) - SendAhead;
+            const TimePoint ahead = lastEnd(worker) - SendAhead;
             next = ahead > now ? std::min(next, ahead) : next;
         }
     }
--- a/tests/test_stage_load.cpp
+++ b/tests/test_stage_load.cpp
@@ -193,6 +193,7 @@
     CPPUNIT_TEST(scarceRoomIsNotSpentOnSplitTasks);
     CPPUNIT_TEST(taskLargerThanTheRoomIsSplit);
     CPPUNIT_TEST(lateWorkNearTheReplicaWaitsForWorkInTime);
+    CPPUNIT_TEST(leastValueIsPutOff);
     CPPUNIT_TEST(roomOfOtherOwnersIsLearned);
     CPPUNIT_TEST(spareResultsStayWhileThereIsRoom);
     CPPUNIT_TEST(failedReplicaGetsLittleUntilItAnswers);
@@ -331,6 +332,37 @@
         CPPUNIT_ASSERT_EQUAL(uint64_t(2), calls[0].m_items.front().m_ticket);
     }
 
+    // Guards against an order that keeps work of little value, or work past its due time, when not all can be in time.
+    void leastValueIsPutOff()
+    {
+        StageQueue queue;
+        queue.m_limits = packStore(); // a full call takes 445 ms
+        queue.m_workers["0"].m_id = "0";
+        const double values[] = {0.5, 2, 1, 0.2};
+        for (const double value : values) {
+            StageTask task = makeTask(Start, 26);
+            task.m_value = value;
+            task.m_due = Start + milliseconds(500); // two full calls begin by then
+            addTask(queue, task);
+        }
+        StageTask past = makeTask(Start, 26);
+        past.m_value = 4;
+        past.m_due = Start - seconds(1);
+        addTask(queue, past);
+        std::vector<uint64_t> sent;
+        for (TimePoint now = Start; sent.size() < 2; now += milliseconds(445)) {
+            const StageCall call = planCalls(queue, now).at(0);
+            CPPUNIT_ASSERT_EQUAL(size_t(26), call.m_items.size());
+            sent.push_back(call.m_items.front().m_ticket);
+            for (size_t i = 0; i < call.m_items.size(); ++i) {
+                completePiece(queue, call, i, std::to_string(call.m_call) + "/" + std::to_string(i), now);
+            }
+            endCall(queue, call.m_call, false, now + milliseconds(445));
+        }
+        // Tickets count from one: those of value 2 and 1.
+        CPPUNIT_ASSERT((sent == std::vector<uint64_t>{2, 3}));
+    }
+
     // Guards against pieces that are refused for room again and again, after a restart or with two owners.
     void roomOfOtherOwnersIsLearned()
     {
