--- a/src/gateway_stages.cpp
+++ b/src/gateway_stages.cpp
@@ -399,6 +399,7 @@
     for (StageCall &call : planCalls(owned.m_queue, now)) {
         sendStageCall(gateway, owned, std::move(call));
     }
+    releaseHandles(gateway, owned.m_queue.m_service, scarceSpareResults(owned.m_queue));
     watchStarts(gateway, owned);
     const std::optional<TimePoint> next = nextQueueEvent(owned.m_queue, now);
     if (!next) {
--- a/src/serving.h
+++ b/src/serving.h
@@ -348,7 +348,7 @@
 struct StageCall {
     uint64_t m_call = 0;
     std::string m_replica;
-    int64_t m_born = 0; ///< incarnation of the replica
+    uint64_t m_epoch = 0; ///< StageWorker::m_epoch when it was sent
     struct Item {
         uint64_t m_ticket = 0;
         int m_piece = 0;
@@ -365,6 +365,7 @@
     std::string m_address;
     std::string m_failureDomain;
     int64_t m_born = 0; ///< start of the incarnation, Unix milliseconds
+    uint64_t m_epoch = 0; ///< changes with each incarnation and address
     bool m_usable = true; ///< registered and not draining
     int m_calls = 0; ///< open calls
     TimePoint m_busyUntil; ///< expected end of the last open call
--- a/src/serving_queue.cpp
+++ b/src/serving_queue.cpp
@@ -262,7 +262,7 @@
 {
     StageCall call;
     call.m_replica = worker.m_id;
-    call.m_born = worker.m_born;
+    call.m_epoch = worker.m_epoch;
     takeTasks(queue, worker, order.m_inTime, call, now);
     takeTasks(queue, worker, order.m_late, call, now);
     return call;
@@ -352,7 +352,9 @@
         // Calls to the incarnation before end by themselves.
         const int calls = worker.m_calls;
         const TimePoint busyUntil = worker.m_busyUntil;
+        const uint64_t epoch = worker.m_epoch + 1;
         worker = StageWorker();
+        worker.m_epoch = epoch;
         worker.m_calls = calls;
         worker.m_busyUntil = busyUntil;
     }
@@ -477,10 +479,12 @@
     const auto task = queue.m_tasks.find(piece.m_ticket);
     const int64_t bytes = call.m_resultBytes / static_cast<int64_t>(call.m_items.size());
     const auto worker = queue.m_workers.find(call.m_replica);
-    if (worker != queue.m_workers.end() && worker->second.m_born == call.m_born) {
+    if (worker != queue.m_workers.end() && worker->second.m_epoch == call.m_epoch) {
         const int64_t room = task == queue.m_tasks.end() ? bytes : task->second.m_resultBytes;
-        queue.m_results[handle] = {call.m_replica, room, now + queue.m_limits.m_resultLifetime, ResultState::Held};
-        worker->second.m_heldBytes += room;
+        const HeldResult result{call.m_replica, room, now + queue.m_limits.m_resultLifetime, ResultState::Held};
+        // A replica that names a result twice holds it once.
+        const bool isNew = queue.m_results.emplace(handle, result).second;
+        worker->second.m_heldBytes += isNew ? room : 0;
     }
     if (task == queue.m_tasks.end()) {
         return std::nullopt;
@@ -547,7 +551,7 @@
     if (worker != queue.m_workers.end()) {
         StageWorker &replica = worker->second;
         replica.m_calls -= 1;
-        if (replica.m_born == open->second.m_born) {
+        if (replica.m_epoch == open->second.m_epoch) {
             replica.m_heldBytes -= open->second.m_resultBytes; // what it made counts by itself
         }
         if (failed) {
--- a/tests/test_stage_load.cpp
+++ b/tests/test_stage_load.cpp
@@ -201,6 +201,7 @@
     CPPUNIT_TEST(nearReplicaIsPreferred);
     CPPUNIT_TEST(canceledTaskGivesItsResultsBack);
     CPPUNIT_TEST(newIncarnationHoldsNothing);
+    CPPUNIT_TEST(roomIsCountedOnce);
     CPPUNIT_TEST_SUITE_END();
 
     // Guards against batches that stay small. 18 requests of 8 pieces a second, as on the ordinary day; nine gateways
@@ -512,6 +513,34 @@
         CPPUNIT_ASSERT(queue.m_results.empty());
     }
 
+    // Guards against room that is lost for good, or gained, by a result that is named twice or a replica that moves.
+    void roomIsCountedOnce()
+    {
+        StageQueue queue;
+        queue.m_limits = {1, 2, 8, milliseconds(240), milliseconds(26), 9'600'000, seconds(4)};
+        ReplicaRecord record;
+        record.m_id = "0";
+        record.m_address = "10.0.0.1:80";
+        updateWorker(queue, record);
+        StageTask task = makeTask(Start, 2);
+        task.m_resultBytes = 1'000'000;
+        addTask(queue, task);
+        StageCall call = planCalls(queue, Start).at(0);
+        completePiece(queue, call, 0, "h/1", Start);
+        completePiece(queue, call, 1, "h/1", Start);
+        endCall(queue, call.m_call, false, Start);
+        CPPUNIT_ASSERT_EQUAL(int64_t(1'000'000), queue.m_workers["0"].m_heldBytes);
+        releaseResult(queue, "h/1");
+        CPPUNIT_ASSERT_EQUAL(int64_t(0), queue.m_workers["0"].m_heldBytes);
+        addTask(queue, task);
+        call = planCalls(queue, Start).at(0);
+        record.m_address = "10.0.0.2:80";
+        updateWorker(queue, record);
+        completePiece(queue, call, 0, "h/2", Start);
+        endCall(queue, call.m_call, false, Start);
+        CPPUNIT_ASSERT_EQUAL(int64_t(0), queue.m_workers["0"].m_heldBytes);
+    }
+
     // Guards against results that stay at their replica after the caller has gone.
     void canceledTaskGivesItsResultsBack()
     {
