Watch configuration, members and registrations apart; recover watches after a silent outage

Now: three watches, of which only registrations return all the time, with a pause that the leaving time of replicas allows; waiting calls start again after a call without an answer; failed watches wait for the renewal of the lease, which costs a tenth; registrations are listed from stale reads, and used once a watch has added what these lack.

Failed try: stale listings for all keys.

--- a/src/gateway_store.cpp
+++ b/src/gateway_store.cpp
@@ -24,18 +24,31 @@
 namespace {
 
 constexpr Duration CallTimeout = milliseconds(2000); ///< the store usually answers within milliseconds
-constexpr Duration WatchWait = seconds(15); ///< long, as each call is billed; keep-alive probes detect a dead connection earlier
-constexpr Duration WatchTimeoutMargin = seconds(3); ///< added to WatchWait for the timeout of a watch call
-constexpr Duration WatchPause = milliseconds(500); ///< changes within this pause share one call
+constexpr Duration WatchTimeoutMargin = seconds(2); ///< added to the wait of a watch for the timeout of its call
+/** Wait of the watches on keys that seldom change; long, as each call is billed. */
+constexpr Duration QuietWatchWait = seconds(25);
+/** Wait of the watch on registrations. Replicas renew them all the time, so a longer silence is a failure. */
+constexpr Duration RegistrationWatchWait = seconds(4);
+constexpr Duration ConfigurationWatchPause = milliseconds(100); ///< between calls; changes within this pause share one call
+constexpr Duration MembersWatchPause = milliseconds(1000); ///< as above; many gateways may join at once
+constexpr Duration MinRegistrationWatchPause = milliseconds(500);
+constexpr Duration MaxRegistrationWatchPause = milliseconds(3000);
+/** Part of GatewaySettings::m_leavingTime that remains for the call of a watch after its pause. */
+constexpr Duration LeavingMargin = milliseconds(1000);
 constexpr Duration StoreSilenceTimeout = milliseconds(3000); ///< whole seconds, the resolution of TCP keep-alive probes
 constexpr Duration BaseRetryDelay = milliseconds(150); ///< doubles with each consecutive failure
 constexpr Duration MaxRetryDelay = milliseconds(1200); ///< upper bound on the time to detect the end of an outage
 constexpr int MaxRetryDoublings = 3;
-constexpr Duration LeaseTime = seconds(4); ///< a crashed member stays listed for at most this time
-constexpr Duration LeaseRenewal = milliseconds(1300); ///< two consecutive renewals may fail before the lease expires
-
-void readPage(Gateway &gateway, const std::string &after);
-void watch(Gateway &gateway);
+constexpr Duration FirstWatchWait = milliseconds(10); ///< wait of the first watch call after a listing
+/** How long new requests wait for the store after a pause of the process. Without an answer, traffic goes on as known. */
+constexpr Duration ConfirmTimeout = milliseconds(500);
+constexpr Duration MaxParkedTime = seconds(3); ///< a parked watch is retried after this time at the latest
+constexpr Duration LeaseTime = seconds(6); ///< a crashed member stays listed for at most this time
+constexpr Duration LeaseRenewal = milliseconds(1900); ///< two consecutive renewals may fail before the lease expires
+
+void startListing(Gateway &gateway, StoreWatch &watch);
+void readPage(Gateway &gateway, StoreWatch &watch, const std::string &after);
+void callWatch(Gateway &gateway, StoreWatch &watch);
 void renewLease(Gateway &gateway);
 
 //-----------------------------------------------------------------------------
@@ -103,6 +116,13 @@
     connection.m_timeout.start(gateway.m_loop, timeout, [&connection] { finishStoreCall(connection, 0, "", false); });
 }
 
+/** Ends an open call without its callback and closes the connection. */
+void dropStoreCall(StoreConnection &connection)
+{
+    connection.m_onEnd = nullptr;
+    finishStoreCall(connection, 0, "", false);
+}
+
 Duration retryDelay(Gateway &gateway)
 {
     const int doublings = std::min(gateway.m_store.m_failures, MaxRetryDoublings);
@@ -111,15 +131,60 @@
     return delay / 2 + Duration(static_cast<int64_t>(uniformReal(gateway.m_random) * static_cast<double>(delay.count()) / 2));
 }
 
+/** Lists or watches again after a failed call. */
+void resumeWatch(Gateway &gateway, StoreWatch &watch)
+{
+    watch.m_isParked = false;
+    watch.m_timer.stop();
+    if (watch.m_listed) {
+        callWatch(gateway, watch);
+    } else {
+        startListing(gateway, watch);
+    }
+}
+
+/**
+ * Retries a listing or watch after a failed call: soon after the first failure, as a call may be cut at any time. After
+ * that, the renewal of the lease, which costs a tenth of other calls, finds out when the store is available again.
+ */
+void parkWatch(Gateway &gateway, StoreWatch &watch)
+{
+    watch.m_isParked = true;
+    const bool isProbed = gateway.m_store.m_lease != 0 && !gateway.m_draining && gateway.m_store.m_failures > 1;
+    const Duration delay = isProbed ? MaxParkedTime : retryDelay(gateway);
+    watch.m_timer.start(gateway.m_loop, delay, [&gateway, &watch] { resumeWatch(gateway, watch); });
+}
+
+/**
+ * Resumes the watches whose calls have failed. Waiting calls start again if an answer of the store was lost, as a connection
+ * returns nothing more after a lost answer.
+ */
+void resumeWatches(Gateway &gateway, bool hasLostAnswer)
+{
+    for (StoreWatch &watch : gateway.m_store.m_watches) {
+        if (watch.m_isParked) {
+            resumeWatch(gateway, watch);
+        } else if (watch.m_isWaiting && hasLostAnswer) {
+            dropStoreCall(*watch.m_connection);
+            callWatch(gateway, watch);
+        }
+    }
+}
+
 void recordStoreAnswer(Gateway &gateway)
 {
     StoreClient &store = gateway.m_store;
     observeStoreSuccess(gateway.m_registry, gatewayNow(gateway));
+    const bool recovered = !store.m_available && store.m_failures > 0;
     if (!store.m_available) {
         writeLog(LogLevel::Info, "store", "Key-value store is available.", {{"failures", fmt::format("{}", store.m_failures)}});
     }
     store.m_available = true;
     store.m_failures = 0;
+    const bool hasLostAnswer = std::exchange(store.m_hasLostAnswer, false);
+    if (recovered) {
+        resumeWatches(gateway, hasLostAnswer);
+    }
 }
 
 /** @param silence time without an answer before the call failed */
@@ -134,6 +199,7 @@
                  {{"call", std::string(call)}, {"status", fmt::format("{}", status)}});
     }
     store.m_available = false;
+    store.m_hasLostAnswer = store.m_hasLostAnswer || status == 0;
     store.m_failures += 1;
 }
 
@@ -242,106 +308,169 @@
     }
 }
 
-/** Replaces registry and members by a complete listing, and starts the watch. */
-void applyListing(Gateway &gateway)
+/** Replaces the registrations or members by a complete listing, or applies the configuration, and starts the watch. */
+void applyListing(Gateway &gateway, StoreWatch &watch)
 {
     StoreClient &store = gateway.m_store;
-    std::vector<ReplicaRecord> records;
-    store.m_members.clear();
-    for (const Platform::StoreItem &item : store.m_page) {
-        if (item.m_key == Platform::ConfigurationKey) {
-            applyConfiguration(gateway, item);
-        } else if (startsWith(item.m_key, Platform::MemberPrefix)) {
+    const std::vector<Platform::StoreItem> items = std::exchange(watch.m_page, {});
+    watch.m_listed = true;
+    watch.m_isCurrent = !watch.m_listsStale;
+    watch.m_wasCurrent = watch.m_wasCurrent || watch.m_isCurrent;
+    watch.m_revision = watch.m_listRevision;
+    switch (watch.m_range) {
+    case StoreRange::Configuration:
+        for (const Platform::StoreItem &item : items) {
+            if (item.m_key == Platform::ConfigurationKey) {
+                applyConfiguration(gateway, item);
+                syncUpstreams(gateway);
+            }
+        }
+        break;
+    case StoreRange::Members:
+        store.m_members.clear();
+        for (const Platform::StoreItem &item : items) {
             applyMember(gateway, item);
-        } else if (startsWith(item.m_key, Platform::RegistrationPrefix)) {
+        }
+        applyMembers(gateway);
+        break;
+    case StoreRange::Registrations: {
+        std::vector<ReplicaRecord> records;
+        for (const Platform::StoreItem &item : items) {
             if (std::optional<ReplicaRecord> record = readRecord(item)) {
                 records.push_back(std::move(*record));
             }
         }
+        replaceReplicas(gateway.m_registry, std::move(records), gatewayNow(gateway));
+        expireRegistrations(gateway);
+        break;
+    }
     }
-    store.m_page.clear();
-    replaceReplicas(gateway.m_registry, std::move(records), gatewayNow(gateway));
-    applyMembers(gateway);
-    expireRegistrations(gateway);
-    store.m_listed = true;
-    store.m_revision = store.m_listRevision;
-    watch(gateway);
+    callWatch(gateway, watch);
 }
 
 //-----------------------------------------------------------------------------
 // Listing and watching
 //-----------------------------------------------------------------------------
 
-void startListing(Gateway &gateway)
+void startListing(Gateway &gateway, StoreWatch &watch)
 {
-    gateway.m_store.m_page.clear();
-    gateway.m_store.m_listRevision = 0;
-    readPage(gateway, "");
+    watch.m_page.clear();
+    watch.m_listRevision = 0;
+    readPage(gateway, watch, "");
 }
 
-void retryListing(Gateway &gateway, int status)
+void retryListing(Gateway &gateway, StoreWatch &watch, int status)
 {
     recordStoreFailure(gateway, "list", status, status == 0 ? CallTimeout : Duration(0));
-    gateway.m_store.m_watchTimer.start(gateway.m_loop, retryDelay(gateway), [&gateway] { startListing(gateway); });
+    parkWatch(gateway, watch);
+}
+
+/**
+ * A revision after which the watch returns all changes that @p page lacks. Pages may differ in revision, and a stale page may
+ * be older than the revision that its answer names, but not than its newest item.
+ */
+int64_t changesFollow(const Platform::StoreItems &page, bool stale)
+{
+    int64_t newest = 0;
+    for (const Platform::StoreItem &item : page.m_items) {
+        newest = std::max(newest, item.m_revision);
+    }
+    return newest == 0 || !stale ? page.m_asOf : newest;
 }
 
-void readPage(Gateway &gateway, const std::string &after)
+void readPage(Gateway &gateway, StoreWatch &watch, const std::string &after)
 {
-    const std::string target = Platform::formatRangeTarget("", after);
-    callStore(gateway, *gateway.m_store.m_watchConnection, "GET", target, "", CallTimeout, [&gateway](int status, const std::string &body) {
-        StoreClient &store = gateway.m_store;
+    const std::string target = Platform::formatRangeTarget(watch.m_prefix, after, watch.m_listsStale);
+    callStore(gateway, *watch.m_connection, "GET", target, "", CallTimeout, [&gateway, &watch](int status, const std::string &body) {
         absl::StatusOr<Platform::StoreItems> page =
             status == HTTP_STATUS_OK ? Platform::decodeItems(body) : absl::UnavailableError("no answer");
         if (!page.ok()) {
-            retryListing(gateway, status);
+            retryListing(gateway, watch, status);
             return;
         }
         recordStoreAnswer(gateway);
-        // Pages may differ in revision, so the watch starts at the revision of the first page.
-        store.m_listRevision = store.m_listRevision == 0 ? page->m_asOf : store.m_listRevision;
+        const int64_t revision = changesFollow(*page, watch.m_listsStale);
+        watch.m_listRevision = watch.m_listRevision == 0 ? revision : std::min(watch.m_listRevision, revision);
         const std::string last = page->m_items.empty() ? "" : page->m_items.back().m_key;
         const bool more = page->m_more && !last.empty();
-        std::move(page->m_items.begin(), page->m_items.end(), std::back_inserter(store.m_page));
+        std::move(page->m_items.begin(), page->m_items.end(), std::back_inserter(watch.m_page));
         if (more) {
-            readPage(gateway, last);
+            readPage(gateway, watch, last);
         } else {
-            applyListing(gateway);
+            applyListing(gateway, watch);
         }
     });
 }
 
-void handleWatch(Gateway &gateway, int status, const std::string &body)
+/** Continues held requests once all that is known has been confirmed. */
+void confirm(Gateway &gateway)
 {
-    StoreClient &store = gateway.m_store;
+    const std::list<StoreWatch> &watches = gateway.m_store.m_watches;
+    const auto isCurrent = [](const StoreWatch &watch) { return watch.m_isCurrent; };
+    if (gateway.m_isUnconfirmed && std::all_of(watches.begin(), watches.end(), isCurrent)) {
+        admitHeldRequests(gateway);
+    }
+}
+
+void handleWatch(Gateway &gateway, StoreWatch &watch, int status, const std::string &body)
+{
+    watch.m_isWaiting = false;
     absl::StatusOr<Platform::StoreItems> events =
         status == HTTP_STATUS_OK ? Platform::decodeItems(body) : absl::UnavailableError("no answer");
     if (events.ok()) {
         recordStoreAnswer(gateway);
-        store.m_revision = std::max(store.m_revision, events->m_asOf);
+        watch.m_revision = std::max(watch.m_revision, events->m_asOf);
+        const bool wasCurrent = std::exchange(watch.m_isCurrent, true);
+        watch.m_wasCurrent = true;
         applyEvents(gateway, *events);
-        store.m_watchTimer.start(gateway.m_loop, WatchPause, [&gateway] { watch(gateway); });
+        confirm(gateway);
+        const Duration pause = wasCurrent ? watch.m_pause : Duration(0);
+        watch.m_timer.start(gateway.m_loop, pause, [&gateway, &watch] { callWatch(gateway, watch); });
         return;
     }
     if (status == HTTP_STATUS_GONE) {
-        writeLog(LogLevel::Info, "store", "Watch history is no longer available; listing again.");
-        startListing(gateway);
+        writeLog(LogLevel::Info, "store", "Watch history is no longer available; listing again.", {{"prefix", watch.m_prefix}});
+        watch.m_listed = false;
+        watch.m_listsStale = watch.m_listsStale && watch.m_isCurrent; // a stale listing may be older than the history
+        startListing(gateway, watch);
         return;
     }
     // A waiting watch may be cut off at any time, so its failure is no evidence that the store was unavailable before.
     recordStoreFailure(gateway, "watch", status, Duration(0));
-    store.m_watchTimer.start(gateway.m_loop, retryDelay(gateway), [&gateway] { watch(gateway); });
+    parkWatch(gateway, watch);
 }
 
-void watch(Gateway &gateway)
+void callWatch(Gateway &gateway, StoreWatch &watch)
 {
-    const std::string target = Platform::formatWatchTarget("", gateway.m_store.m_revision, WatchWait);
+    // The first call after a listing only fetches what the listing lacks.
+    const Duration wait = watch.m_isCurrent ? watch.m_wait : FirstWatchWait;
+    const std::string target = Platform::formatWatchTarget(watch.m_prefix, watch.m_revision, wait);
+    watch.m_isWaiting = true;
     callStore(gateway,
-              *gateway.m_store.m_watchConnection,
+              *watch.m_connection,
               "GET",
               target,
               "",
-              WatchWait + WatchTimeoutMargin,
-              [&gateway](int status, const std::string &body) { handleWatch(gateway, status, body); });
+              wait + WatchTimeoutMargin,
+              [&gateway, &watch](int status, const std::string &body) { handleWatch(gateway, watch, status, body); });
+}
+
+/** Pause of the watch on registrations, so that a replica that leaves gets no work later than the settings allow. */
+Duration registrationWatchPause(const GatewaySettings &settings)
+{
+    return std::clamp(settings.m_leavingTime - LeavingMargin, MinRegistrationWatchPause, MaxRegistrationWatchPause);
+}
+
+void addWatch(Gateway &gateway, StoreRange range, std::string_view prefix, Duration pause, Duration wait)
+{
+    StoreWatch &watch = gateway.m_store.m_watches.emplace_back();
+    watch.m_range = range;
+    // Registrations are renewed all the time, so that the newest of a listing is within the history of the store.
+    watch.m_listsStale = range == StoreRange::Registrations;
+    watch.m_prefix = prefix;
+    watch.m_pause = pause;
+    watch.m_wait = wait;
+    watch.m_connection = new StoreConnection; // never freed: it is used until the process exits
 }
 
 //-----------------------------------------------------------------------------
@@ -440,13 +569,41 @@
 void startStore(Gateway &gateway)
 {
     StoreClient &store = gateway.m_store;
-    // Never freed: both are used until the process exits.
-    store.m_watchConnection = new StoreConnection;
-    store.m_leaseConnection = new StoreConnection;
-    startListing(gateway);
+    store.m_leaseConnection = new StoreConnection; // never freed: it is used until the process exits
+    addWatch(gateway, StoreRange::Configuration, Platform::ConfigurationKey, ConfigurationWatchPause, QuietWatchWait);
+    addWatch(gateway, StoreRange::Members, Platform::MemberPrefix, MembersWatchPause, QuietWatchWait);
+    addWatch(gateway,
+             StoreRange::Registrations,
+             Platform::RegistrationPrefix,
+             registrationWatchPause(gateway.m_settings),
+             RegistrationWatchWait);
+    for (StoreWatch &watch : store.m_watches) {
+        startListing(gateway, watch);
+    }
     renewLease(gateway);
 }
 
+void refreshStore(Gateway &gateway)
+{
+    gateway.m_isUnconfirmed = true;
+    gateway.m_confirmTimer.start(gateway.m_loop, ConfirmTimeout, [&gateway] {
+        writeLog(LogLevel::Warning, "store", "Key-value store did not confirm what is known; continuing with it.");
+        admitHeldRequests(gateway);
+    });
+    for (StoreWatch &watch : gateway.m_store.m_watches) {
+        dropStoreCall(*watch.m_connection);
+        watch.m_isWaiting = false;
+        watch.m_isCurrent = false;
+        resumeWatch(gateway, watch);
+    }
+}
+
+bool isListed(const Gateway &gateway)
+{
+    return std::all_of(
+        gateway.m_store.m_watches.begin(), gateway.m_store.m_watches.end(), [](const StoreWatch &watch) { return watch.m_wasCurrent; });
+}
+
 void leaveMembership(Gateway &gateway)
 {
     StoreClient &store = gateway.m_store;
