Check what is known after a pause; bound answers that never end; answer what shutdown has read in part

- A late copy of a refusal on the connection of the next attempt of the same request was taken for its answer: a request that ran was reported as not run.
A connection is not used twice for one attempt id, and an answer without an id on a reused connection ends the call.
- 1xx answers were taken for the answer.
- Bytes of a stream that never form an event filled the memory until the deadline: 256 KiB are the limit.
Keys are checked again when a request is first sent to a replica.
- Requests read in part when the process exits are answered 503; it exits once callers have been quiet for 400 ms.

--- a/src/gateway_attempts.cpp
+++ b/src/gateway_attempts.cpp
@@ -16,6 +16,7 @@
  * failure domains.
  */
 constexpr Duration ExpectedFetchTime = milliseconds(70);
+constexpr size_t MaxEventBytes = 256 * 1024; ///< limit on one event of a stream
 constexpr int MaxPlanRestarts = 1; ///< per request: how often stages may run again because results no longer exist
 
 void handleAttemptEnd(Gateway &gateway, Exchange &exchange, AttemptEnd end, Reason reason);
@@ -387,8 +388,14 @@
         return;
     }
     HttpReader &reader = answerReader(call);
-    if (isSuccessWithSeal(reader)) {
-        static_cast<void>(forwardEvents(gateway, *exchange, reader)); // false: the exchange has been removed, and is not used below
+    if (!isSuccessWithSeal(reader) || !forwardEvents(gateway, *exchange, reader)) {
+        return;
+    }
+    if (exchange->m_partialEvent.size() > MaxEventBytes) {
+        exchange->m_partialEvent = std::string();
+        exchange->m_attempts.m_sent += 1;
+        cancelCall(gateway, call.m_number);
+        handleAttemptEnd(gateway, *exchange, exchange->m_streaming ? AttemptEnd::Broken : AttemptEnd::Lost, Reason::InvalidAnswer);
     }
 }
 
@@ -462,6 +469,10 @@
 
 void startAttempt(Gateway &gateway, Exchange &exchange)
 {
+    if (!exchange.m_streaming && exchange.m_attempts.m_sent == 0 && isKeyWithdrawn(gateway, exchange)) {
+        failExchange(gateway, exchange, HTTP_STATUS_UNAUTHORIZED, Reason::UnknownKey);
+        return;
+    }
     const std::optional<std::string> replica = chooseReplica(gateway, exchange);
     if (!replica) {
         if (exchange.m_attempts.m_ran == 0) {
--- a/src/gateway_callers.cpp
+++ b/src/gateway_callers.cpp
@@ -1,3 +1,5 @@
+#include <algorithm>
+
 #include <fmt/format.h>
 
 #include "gateway_internal.h"
@@ -44,6 +46,11 @@
     sendAndClose(gateway, caller, formatAnswer(status, {}, "", false));
 }
 
+bool isReadInPart(const CallerConnection &caller)
+{
+    return caller.m_exchange == 0 && caller.m_reader.m_started;
+}
+
 void startIdleTimeout(Gateway &gateway, CallerConnection &caller)
 {
     caller.m_timer.start(gateway.m_loop, limitsOf(gateway).m_idleTimeout, [&gateway, &caller] { dropCaller(gateway, caller); });
@@ -87,6 +94,7 @@
 
 void readCaller(Gateway &gateway, CallerConnection &caller, std::string_view data)
 {
+    gateway.m_lastCallerBytesAt = gatewayNow(gateway);
     if (caller.m_exchange != 0) {
         if (caller.m_pending.size() + data.size() > MaxPendingBytes) {
             dropCaller(gateway, caller);
@@ -145,6 +153,7 @@
 
 void acceptCaller(Gateway &gateway, NetConnection *net)
 {
+    gateway.m_lastCallerBytesAt = gatewayNow(gateway);
     CallerConnection &caller = gateway.m_callers.emplace_back(limitsOf(gateway));
     caller.m_self = std::prev(gateway.m_callers.end());
     caller.m_net = net;
@@ -156,6 +165,21 @@
     startIdleTimeout(gateway, caller);
 }
 
+bool hasPartialRequests(const Gateway &gateway)
+{
+    return std::any_of(gateway.m_callers.begin(), gateway.m_callers.end(), isReadInPart);
+}
+
+void refusePartialRequests(Gateway &gateway)
+{
+    for (auto next = gateway.m_callers.begin(); next != gateway.m_callers.end();) {
+        CallerConnection &caller = *next++;
+        if (isReadInPart(caller)) {
+            rejectRequest(gateway, caller, HTTP_STATUS_SERVICE_UNAVAILABLE, Reason::Draining);
+        }
+    }
+}
+
 void sendAnswer(Gateway &gateway, CallerConnection &caller, int status, const HttpHeaders &headers, std::string_view body)
 {
     caller.m_keepAlive = caller.m_keepAlive && !gateway.m_draining;
--- a/src/gateway_requests.cpp
+++ b/src/gateway_requests.cpp
@@ -106,11 +106,10 @@
     return true;
 }
 
-void setDeadlines(Gateway &gateway, Exchange &exchange)
+void setDeadlines(Exchange &exchange)
 {
     const ServingRoute &route = *exchange.m_route;
-    const TimePoint now = gatewayNow(gateway);
-    exchange.m_receivedAt = now;
+    const TimePoint now = exchange.m_receivedAt;
     exchange.m_deadline = now + route.m_timeout;
     const std::optional<std::string_view> header = findHeader(exchange.m_request.m_headers, Platform::DeadlineMs);
     const std::optional<int64_t> left = header ? parseInteger(*header) : std::nullopt;
@@ -155,7 +154,8 @@
 /** Finds configuration, route and organisation of a request. @return false when the request was answered with an error. */
 bool admit(Gateway &gateway, Exchange &exchange)
 {
-    if (!gateway.m_configuration) {
+    // A configuration from a stale listing alone may be older than one that was in force here before a restart.
+    if (!gateway.m_configuration || !isListed(gateway)) {
         refuseExchange(gateway, exchange, Reason::ConfigurationMissing);
         return false;
     }
@@ -180,6 +180,18 @@
     return true;
 }
 
+void beginExchange(Gateway &gateway, Exchange &exchange)
+{
+    if (!admit(gateway, exchange)) {
+        return;
+    }
+    setDeadlines(exchange);
+    prepareExchange(gateway, exchange);
+    countRequest(gateway.m_retryBudgets[exchange.m_service], gateway.m_settings, exchange.m_receivedAt);
+    startDeadlineTimer(gateway, exchange, exchange.m_firstEventDeadline);
+    beginStages(gateway, exchange);
+}
+
 } // namespace
 
 void countReason(std::array<uint64_t, static_cast<size_t>(Reason::Count)> &counts, Reason reason)
@@ -201,14 +213,32 @@
     caller.m_keepAlive = exchange.m_request.m_keepAlive;
     caller.m_exchange = exchange.m_number;
     gateway.m_exchanges.emplace(exchange.m_number, std::move(owned));
-    if (!admit(gateway, exchange)) {
+    noticePause(gateway);
+    if (gateway.m_isUnconfirmed) {
+        gateway.m_heldRequests.push_back(exchange.m_number);
         return;
     }
-    setDeadlines(gateway, exchange);
-    prepareExchange(gateway, exchange);
-    countRequest(gateway.m_retryBudgets[exchange.m_service], gateway.m_settings, exchange.m_receivedAt);
-    startDeadlineTimer(gateway, exchange, exchange.m_firstEventDeadline);
-    beginStages(gateway, exchange);
+    beginExchange(gateway, exchange);
+}
+
+void admitHeldRequests(Gateway &gateway)
+{
+    gateway.m_isUnconfirmed = false;
+    gateway.m_confirmTimer.stop();
+    for (const uint64_t number : std::exchange(gateway.m_heldRequests, {})) {
+        if (Exchange *exchange = findExchange(gateway, number)) {
+            beginExchange(gateway, *exchange);
+        }
+    }
+}
+
+bool isKeyWithdrawn(const Gateway &gateway, const Exchange &exchange)
+{
+    if (!exchange.m_organisation || !gateway.m_configuration || gateway.m_configuration == exchange.m_configuration) {
+        return false;
+    }
+    const std::optional<std::string_view> key = findHeader(exchange.m_request.m_headers, Platform::ApiKey);
+    return !key || !gateway.m_configuration->m_keys.contains(std::string(*key));
 }
 
 void startDeadlineTimer(Gateway &gateway, Exchange &exchange, TimePoint deadline)
--- a/src/gateway_run.cpp
+++ b/src/gateway_run.cpp
@@ -15,17 +15,20 @@
 namespace {
 
 constexpr Duration TickInterval = milliseconds(250);
+constexpr Duration PauseThreshold = milliseconds(1500); ///< a longer time between two ticks is a pause of the process
 /** The load balancer polls readiness every second and stops opening connections after two failed polls. */
 constexpr Duration ListenAfterSigterm = milliseconds(3500);
 /** Time before SIGKILL at which requests that are not at a replica are refused, so that callers can retry elsewhere. */
 constexpr Duration RefuseMargin = milliseconds(1300);
 constexpr Duration AnswerMargin = milliseconds(700); ///< time before SIGKILL at which all other requests are answered
+/** The process exits once callers have sent nothing for this time, as accepted connections may not have been read yet. */
+constexpr Duration QuietBeforeExit = milliseconds(400);
 constexpr Duration ExitMargin = milliseconds(300); ///< time before SIGKILL at which the process exits; leaves time to send the answers
 constexpr size_t MaxReadinessRequestBytes = 16 * 1024;
 
 bool isReady(const Gateway &gateway)
 {
-    return gateway.m_configuration && gateway.m_store.m_listed && !gateway.m_draining;
+    return gateway.m_configuration && isListed(gateway) && !gateway.m_draining;
 }
 
 //-----------------------------------------------------------------------------
@@ -133,7 +136,8 @@
 
 bool isIdle(const Gateway &gateway)
 {
-    return gateway.m_exchanges.empty() && !hasQueuedWork(gateway);
+    const bool isQuiet = gatewayNow(gateway) - gateway.m_lastCallerBytesAt >= QuietBeforeExit;
+    return isQuiet && gateway.m_exchanges.empty() && !hasPartialRequests(gateway) && !hasQueuedWork(gateway);
 }
 
 /** Answers requests that can't finish before the process exits. Includes requests at a replica only with @p everything. */
@@ -165,6 +169,9 @@
     if (left <= RefuseMargin) {
         endOpenRequests(gateway, left <= AnswerMargin);
     }
+    if (left <= AnswerMargin) {
+        refusePartialRequests(gateway);
+    }
     if (elapsed >= ListenAfterSigterm && (isIdle(gateway) || left <= ExitMargin)) {
         writeLog(LogLevel::Info, "main", "Shutdown ended.", {{"requests_left", fmt::format("{}", gateway.m_exchanges.size())}});
         stopLoop(gateway.m_loop);
@@ -184,6 +191,8 @@
 
 void tick(Gateway &gateway)
 {
+    noticePause(gateway);
+    gateway.m_lastTickAt = gatewayNow(gateway);
     checkPeers(gateway);
     closeIdleUpstreams(gateway);
     if (gateway.m_draining) {
@@ -227,6 +236,21 @@
 
 } // namespace
 
+void noticePause(Gateway &gateway)
+{
+    const TimePoint now = gatewayNow(gateway);
+    const Duration pause = now - gateway.m_lastTickAt;
+    if (gateway.m_lastTickAt == TimePoint() || pause < PauseThreshold) {
+        return;
+    }
+    gateway.m_lastTickAt = now;
+    writeLog(LogLevel::Warning,
+             "main",
+             "The process was paused; reading the key-value store again.",
+             {{"pause_ms", fmt::format("{}", pause.count() / 1000)}});
+    refreshStore(gateway);
+}
+
 absl::Status runGateway(const GatewaySettings &settings, const std::string &settingsPath, Clock &clock)
 {
     // Never freed: the process exits when the loop ends.
--- a/src/gateway_upstreams.cpp
+++ b/src/gateway_upstreams.cpp
@@ -53,6 +53,18 @@
     return echoed && *echoed != call.m_attemptId;
 }
 
+/** Whether an answer does not tell which request it belongs to, on a connection that may deliver answers to earlier ones. */
+bool isUnidentified(const UpstreamConnection &connection)
+{
+    return connection.m_isReused && !connection.m_call->m_attemptId.empty()
+        && !findHeader(connection.m_reader.m_headers, Platform::AttemptId);
+}
+
+bool isInformational(const HttpReader &reader)
+{
+    return reader.m_status >= 100 && reader.m_status < 200;
+}
+
 void keepConnection(Gateway &gateway, UpstreamConnection *connection)
 {
     Upstream *upstream = findUpstream(gateway, connection->m_replica);
@@ -64,6 +76,8 @@
     }
     connection->m_idleLimit = idleLimitOf(connection->m_reader.m_headers);
     connection->m_idleSince = gatewayNow(gateway);
+    connection->m_isReused = true;
+    connection->m_informational = 0;
     connection->m_reader.reset();
     upstream->m_idle.push_back(connection);
 }
@@ -85,6 +99,7 @@
     UpstreamCall *call = connection->m_call;
     auto owned = std::move(gateway.m_calls.at(call->m_number));
     gateway.m_calls.erase(call->m_number);
+    connection->m_lastAttemptId = owned->m_attemptId;
     if (owned->m_onEnd) {
         owned->m_onEnd(*owned, end);
     }
@@ -119,6 +134,14 @@
         HttpReader &reader = connection->m_reader;
         data.remove_prefix(reader.feed(data));
         const bool headDone = reader.m_state == ParseState::Body || reader.m_state == ParseState::Done;
+        if (headDone && isInformational(reader) && ++connection->m_informational <= UpstreamConnection::MaxInformational) {
+            reader.reset();
+            continue;
+        }
+        if (headDone && (isInformational(reader) || isUnidentified(*connection))) {
+            finishCall(gateway, connection, CallEnd::Malformed);
+            return;
+        }
         if (headDone && isStaleAnswer(*connection->m_call, reader)) {
             if (reader.m_state == ParseState::Done) {
                 reader.reset();
@@ -182,10 +205,17 @@
     return connection;
 }
 
-UpstreamConnection *takeIdle(Gateway &gateway, Upstream &upstream, ConnectionUse use)
+/**
+ * A pooled connection for a call, or null. Not one whose previous call had the same attempt id: a late copy of its answer
+ * could not be told from the answer to this call.
+ */
+UpstreamConnection *takeIdle(Gateway &gateway, Upstream &upstream, const std::string &attemptId, ConnectionUse use)
 {
     while (use != ConnectionUse::Fresh && !upstream.m_idle.empty()) {
         UpstreamConnection *connection = upstream.m_idle.back();
+        if (!attemptId.empty() && connection->m_lastAttemptId == attemptId) {
+            return nullptr;
+        }
         const Duration idle = gatewayNow(gateway) - connection->m_idleSince;
         if (idle >= connection->m_idleLimit) {
             closeUpstream(gateway, connection);
@@ -212,7 +242,7 @@
     call->m_lastByteAt = call->m_startedAt;
     gateway.m_calls.emplace(call->m_number, std::move(owned));
     Upstream &upstream = gateway.m_upstreams.at(replica);
-    UpstreamConnection *connection = takeIdle(gateway, upstream, use);
+    UpstreamConnection *connection = takeIdle(gateway, upstream, call->m_attemptId, use);
     const bool reused = connection != nullptr;
     if (!reused) {
         connection = openConnection(gateway, upstream);
--- /dev/null
+++ b/tests/test_gateway_faults.cpp
@@ -0,0 +1,362 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "gateway_world.h"
+
+using namespace Medlarramp;
+using namespace Medlarramp::Serving;
+
+/** Misbehaving replicas, paused processes and planned stops, over real sockets. */
+class GatewayFaultsTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(GatewayFaultsTest);
+    CPPUNIT_TEST(skipsLateCopyOfAnEarlierAnswer);
+    CPPUNIT_TEST(rejectsUnidentifiedAnswerOnReusedConnection);
+    CPPUNIT_TEST(ignoresLateCopyOfARefusalOfTheSameAttempt);
+    CPPUNIT_TEST(skipsInformationalAnswers);
+    CPPUNIT_TEST(endsAnswersOfInformationalAnswersOnly);
+    CPPUNIT_TEST(limitsAnEventWithoutEnd);
+    CPPUNIT_TEST(limitsHeadsWithoutEnd);
+    CPPUNIT_TEST(keepsSlowStreamAndEndsStalledOne);
+    CPPUNIT_TEST(refusesKeyWithdrawnWhileARequestWaits);
+    CPPUNIT_TEST(pausedProcessReadsTheStoreBeforeItActs);
+    CPPUNIT_TEST(pausedProcessGoesOnWithoutTheStore);
+    CPPUNIT_TEST(answersRequestsReadInPartAtTheEndOfShutdown);
+    CPPUNIT_TEST(registrationsThatOnlyRenewDoNotEndOtherWatches);
+    CPPUNIT_TEST(watchesGoOnAfterASilentOutage);
+    CPPUNIT_TEST_SUITE_END();
+
+    static Caller &ask(GatewayHarness &harness,
+                       const GatewayHarness::Process &gateway,
+                       const std::string &method,
+                       const std::string &target,
+                       const std::string &id,
+                       HttpHeaders headers = {})
+    {
+        Caller &caller = harness.send(gateway, method, target, id, std::move(headers));
+        harness.runUntil("answer", [&] { return caller.isAnswered() || caller.m_closed; });
+        return caller;
+    }
+
+    static std::string answerFor(const std::string &id, const std::string &body)
+    {
+        return formatAnswer(200, {{"X-Attempt-Id", id}, {"X-Replica-Seal", "seal-of-" + id}}, body, true);
+    }
+
+    // Guards against a second copy of an answer, late, on a connection that is in use again, which the next caller gets.
+    void skipsLateCopyOfAnEarlierAnswer()
+    {
+        GatewayHarness harness;
+        FakeServer replica;
+        replica.start(harness.m_loop, [](FakeServer &server, const std::shared_ptr<ReceivedRequest> &request) {
+            const std::string id(findHeader(request->m_request.m_headers, "X-Attempt-Id").value_or(""));
+            const std::string copy = server.m_requests.size() > 1 ? answerFor("a1", "for a1") : "";
+            reply(request, copy + answerFor(id, "for " + id));
+        });
+        const GatewayHarness::Process &gateway = startServing(harness, {{"i-1", "plain", &replica}});
+        CPPUNIT_ASSERT_EQUAL(std::string("for a1"), ask(harness, gateway, "POST", "/plain/1", "a1").m_reader.m_body);
+        CPPUNIT_ASSERT_EQUAL(std::string("for a2"), ask(harness, gateway, "POST", "/plain/1", "a2").m_reader.m_body);
+        CPPUNIT_ASSERT_EQUAL(1, replica.m_connections);
+    }
+
+    // Guards against a late copy of an answer that does not say which request it belongs to.
+    void rejectsUnidentifiedAnswerOnReusedConnection()
+    {
+        GatewayHarness harness;
+        FakeServer replica;
+        replica.start(harness.m_loop, [](FakeServer &server, const std::shared_ptr<ReceivedRequest> &request) {
+            const std::string id(findHeader(request->m_request.m_headers, "X-Attempt-Id").value_or(""));
+            const std::string copy =
+                server.m_requests.size() == 2 ? formatAnswer(200, {{"X-Replica-Seal", "seal-of-a1"}}, "for a1", true) : "";
+            reply(request, copy + answerFor(id, "for " + id));
+        });
+        const GatewayHarness::Process &gateway = startServing(harness, {{"i-1", "plain", &replica}});
+        CPPUNIT_ASSERT_EQUAL(std::string("for a1"), ask(harness, gateway, "GET", "/read/1", "a1").m_reader.m_body);
+        CPPUNIT_ASSERT_EQUAL(std::string("for a2"), ask(harness, gateway, "GET", "/read/1", "a2").m_reader.m_body);
+        CPPUNIT_ASSERT_EQUAL(2, replica.m_connections);
+    }
+
+    // Guards against a late copy of a refusal that is taken for the answer to the next attempt of the same request, which is
+    // then reported as not run, or runs twice.
+    void ignoresLateCopyOfARefusalOfTheSameAttempt()
+    {
+        GatewayHarness harness;
+        FakeServer replica;
+        NetConnection *refused = nullptr;
+        int runs = 0;
+        replica.start(harness.m_loop, [&](FakeServer &, const std::shared_ptr<ReceivedRequest> &request) {
+            HttpHeaders headers = replicaHeaders(request);
+            headers.push_back({"X-Not-Executed", "1"});
+            const std::string refusal = formatAnswer(503, headers, "", true);
+            if (refused == nullptr) {
+                refused = request->m_net;
+                reply(request, refusal);
+                return;
+            }
+            runs += 1;
+            reply(request, (request->m_net == refused ? refusal : "") + answerFor("a1", "whole"));
+        });
+        const GatewayHarness::Process &gateway = startServing(harness, {{"i-1", "plain", &replica}});
+        Caller &caller = ask(harness, gateway, "POST", "/plain/1", "a1");
+        CPPUNIT_ASSERT_EQUAL(200, caller.m_reader.m_status);
+        CPPUNIT_ASSERT_EQUAL(1, runs);
+    }
+
+    // Guards against a 1xx answer that is taken for the answer.
+    void skipsInformationalAnswers()
+    {
+        GatewayHarness harness;
+        FakeServer replica;
+        replica.start(harness.m_loop, [](FakeServer &, const std::shared_ptr<ReceivedRequest> &request) {
+            reply(request,
+                  "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 100 Continue\r\n\r\n"
+                      + formatAnswer(200, replicaHeaders(request), "whole", true));
+        });
+        const GatewayHarness::Process &gateway = startServing(harness, {{"i-1", "plain", &replica}});
+        Caller &caller = ask(harness, gateway, "POST", "/plain/1", "a1");
+        CPPUNIT_ASSERT_EQUAL(200, caller.m_reader.m_status);
+        CPPUNIT_ASSERT_EQUAL(std::string("whole"), caller.m_reader.m_body);
+    }
+
+    // Guards against 1xx answers without end.
+    void endsAnswersOfInformationalAnswersOnly()
+    {
+        GatewayHarness harness;
+        FakeServer replica;
+        replica.start(harness.m_loop, [](FakeServer &, const std::shared_ptr<ReceivedRequest> &request) {
+            std::string hints;
+            for (int i = 0; i < 100; ++i) {
+                hints += "HTTP/1.1 103 Early Hints\r\n\r\n";
+            }
+            reply(request, hints);
+        });
+        const GatewayHarness::Process &gateway = startServing(harness, {{"i-1", "plain", &replica}});
+        // The request may have run, so the answer must not be 503.
+        CPPUNIT_ASSERT_EQUAL(502, ask(harness, gateway, "POST", "/plain/1", "a1").m_reader.m_status);
+    }
+
+    /** Writes @p bytes on the connection again and again while the peer reads them. */
+    struct Flood {
+        NetTimer m_timer;
+        std::shared_ptr<ReceivedRequest> m_request;
+        std::string m_bytes;
+        size_t m_written = 0;
+
+        void run(NetLoop &loop)
+        {
+            if (m_request->m_net == nullptr) {
+                return;
+            }
+            if (m_request->m_net->queuedBytes() == 0) {
+                m_written += m_bytes.size();
+                m_request->m_net->write(m_bytes);
+            }
+            m_timer.start(loop, milliseconds(1), [this, &loop] { run(loop); });
+        }
+    };
+
+    // Guards against bytes of a stream that never form an event and fill the memory until the caller leaves.
+    void limitsAnEventWithoutEnd()
+    {
+        constexpr size_t Limit = 8 * 1024 * 1024; // bytes, with the buffers of the sockets
+        GatewayHarness harness;
+        FakeServer replica;
+        Flood flood;
+        replica.start(harness.m_loop, [&](FakeServer &server, const std::shared_ptr<ReceivedRequest> &request) {
+            if (server.m_requests.size() > 1) {
+                reply(request, formatChunkedHead(200, replicaHeaders(request), true) + formatChunk(event(2)) + std::string(LastChunk));
+                return;
+            }
+            reply(request, formatChunkedHead(200, replicaHeaders(request), true) + formatChunk(event(1)));
+            flood.m_request = request;
+            flood.m_bytes = formatChunk(std::string(16 * 1024, 'x'));
+            flood.run(harness.m_loop);
+        });
+        const GatewayHarness::Process &gateway = startServing(harness, {{"i-1", "model", &replica}});
+        Caller &caller = ask(harness, gateway, "POST", "/stream/1", "a1");
+        CPPUNIT_ASSERT(flood.m_request->m_net == nullptr);
+        CPPUNIT_ASSERT(flood.m_written < Limit);
+        CPPUNIT_ASSERT_EQUAL(event(1) + event(2), caller.m_reader.m_body);
+    }
+
+    // Guards against heads without end: one header, many headers, a status line, blank lines.
+    void limitsHeadsWithoutEnd()
+    {
+        constexpr size_t Limit = 8 * 1024 * 1024; // bytes, with the buffers of the sockets
+        const std::string filler(16 * 1024, 'x');
+        const std::pair<std::string, std::string> heads[] = {{"HTTP/1.1 200 OK\r\nX-Long: ", filler},
+                                                             {"HTTP/1.1 200 OK\r\n", "X-Many: 1\r\n"},
+                                                             {"HTTP/1.1 200 ", filler},
+                                                             {"\r\n", "\r\n\r\n"}};
+        for (const auto &[start, more] : heads) {
+            GatewayHarness harness;
+            FakeServer replica;
+            Flood flood;
+            replica.start(harness.m_loop, [&](FakeServer &, const std::shared_ptr<ReceivedRequest> &request) {
+                reply(request, start);
+                flood.m_request = request;
+                while (flood.m_bytes.size() < filler.size()) {
+                    flood.m_bytes += more;
+                }
+                flood.run(harness.m_loop);
+            });
+            const GatewayHarness::Process &gateway = startServing(harness, {{"i-1", "plain", &replica}});
+            Caller &caller = ask(harness, gateway, "POST", "/plain/1", "a1");
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(start, 502, caller.m_reader.m_status);
+            CPPUNIT_ASSERT_MESSAGE(start, flood.m_written < Limit);
+        }
+    }
+
+    // Guards against a slow but sound stream that is cut, and against one that sends comments now and then and never ends.
+    void keepsSlowStreamAndEndsStalledOne()
+    {
+        GatewayHarness harness;
+        FakeServer replica;
+        std::list<NetTimer> timers;
+        replica.start(harness.m_loop, [&](FakeServer &, const std::shared_ptr<ReceivedRequest> &request) {
+            const bool isSound = findHeader(request->m_request.m_headers, "X-Attempt-Id") == "sound";
+            reply(request, formatChunkedHead(200, replicaHeaders(request), true) + formatChunk(event(1)));
+            for (int i = 2; i <= 4; ++i) {
+                timers.emplace_back().start(harness.m_loop, milliseconds(1000) * (i - 1), [request, i, isSound] {
+                    const std::string end = i == 4 ? std::string(LastChunk) : "";
+                    reply(request, isSound ? formatChunk(event(i)) + end : formatChunk(": still here\n"));
+                });
+            }
+        });
+        const GatewayHarness::Process &gateway = startServing(harness, {{"i-1", "model", &replica}});
+        Caller &sound = harness.send(gateway, "POST", "/stream/1", "sound");
+        Caller &stalled = harness.send(gateway, "POST", "/stream/1", "stalled", {{"X-Deadline-Ms", "3500"}});
+        harness.runUntil("both ends", [&] { return sound.isAnswered() && (stalled.isAnswered() || stalled.m_closed); });
+        CPPUNIT_ASSERT_EQUAL(event(1) + event(2) + event(3) + event(4), sound.m_reader.m_body);
+        CPPUNIT_ASSERT(!stalled.isAnswered());
+    }
+
+    // Guards against a request that runs although its key was withdrawn while it waited for a stage.
+    void refusesKeyWithdrawnWhileARequestWaits()
+    {
+        GatewayHarness harness;
+        FakeServer model;
+        FakeServer stage;
+        std::vector<std::shared_ptr<ReceivedRequest>> blocked;
+        model.start(harness.m_loop, answerOk);
+        stage.start(harness.m_loop,
+                    [&blocked](FakeServer &, const std::shared_ptr<ReceivedRequest> &request) { blocked.push_back(request); });
+        nlohmann::json keyed = configuration(1);
+        keyed["routes"][3]["anonymous"] = false;
+        harness.m_store.put("op/config", keyed.dump());
+        harness.m_store.putReplica("i-1", "model", model.address());
+        harness.m_store.putReplica("s-1", "stage", stage.address());
+        const GatewayHarness::Process &gateway = harness.startGateway("g1");
+        Caller &caller = harness.send(gateway, "POST", "/chain/1", "a1", {{"X-Pieces", "1"}, {"X-Piece-Key", "pk"}, {"X-Api-Key", "k1"}});
+        harness.runUntil("stage call", [&] { return !blocked.empty(); });
+        keyed["version"] = 2;
+        keyed["tenants"][0]["api_keys"] = {"k2"};
+        harness.m_store.put("op/config", keyed.dump());
+        harness.runFor(milliseconds(500));
+        answerStageCall(stage, blocked.front());
+        harness.runUntil("answer", [&] { return caller.isAnswered(); });
+        CPPUNIT_ASSERT_EQUAL(401, caller.m_reader.m_status);
+        CPPUNIT_ASSERT(model.m_requests.empty());
+    }
+
+    // Guards against a process that was paused and acts on a key that was withdrawn meanwhile.
+    void pausedProcessReadsTheStoreBeforeItActs()
+    {
+        GatewayHarness harness;
+        FakeServer replica;
+        replica.start(harness.m_loop, answerOk);
+        const GatewayHarness::Process &gateway = startServing(harness, {{"i-1", "plain", &replica}});
+        CPPUNIT_ASSERT_EQUAL(200, ask(harness, gateway, "GET", "/keyed/1", "a1", {{"X-Api-Key", "k1"}}).m_reader.m_status);
+        // The change before the pause ends the open watch call, so that no event waits at the process when it continues.
+        harness.m_store.put("op/config", configuration(2).dump());
+        harness.runFor(milliseconds(20));
+        kill(gateway.m_pid, SIGSTOP);
+        nlohmann::json withdrawn = configuration(3);
+        withdrawn["tenants"][0]["api_keys"] = {"k2"};
+        harness.m_store.put("op/config", withdrawn.dump());
+        Caller &caller = harness.send(gateway, "GET", "/keyed/1", "a2", {{"X-Api-Key", "k1"}});
+        harness.runFor(milliseconds(2500));
+        kill(gateway.m_pid, SIGCONT);
+        harness.runUntil("answer", [&] { return caller.isAnswered(); });
+        CPPUNIT_ASSERT_EQUAL(401, caller.m_reader.m_status);
+        CPPUNIT_ASSERT_EQUAL(size_t(1), replica.m_requests.size());
+    }
+
+    // Guards against requests that wait for ever after a pause because the store is unavailable.
+    void pausedProcessGoesOnWithoutTheStore()
+    {
+        GatewayHarness harness;
+        FakeServer replica;
+        replica.start(harness.m_loop, answerOk);
+        const GatewayHarness::Process &gateway = startServing(harness, {{"i-1", "plain", &replica}});
+        harness.m_store.m_isSilent = true;
+        kill(gateway.m_pid, SIGSTOP);
+        Caller &caller = harness.send(gateway, "GET", "/read/1", "a1");
+        harness.runFor(milliseconds(2500));
+        kill(gateway.m_pid, SIGCONT);
+        harness.runUntil("answer", [&] { return caller.isAnswered(); });
+        CPPUNIT_ASSERT_EQUAL(200, caller.m_reader.m_status);
+    }
+
+    // Guards against requests that are cut without an answer when the process exits while their heads arrive.
+    void answersRequestsReadInPartAtTheEndOfShutdown()
+    {
+        GatewayHarness harness;
+        FakeServer replica;
+        replica.start(harness.m_loop, answerOk);
+        const GatewayHarness::Process &gateway = startServing(harness, {{"i-1", "plain", &replica}}, 6000);
+        Caller &ended = harness.connectCaller(gateway.m_front);
+        Caller &unended = harness.connectCaller(gateway.m_front);
+        kill(gateway.m_pid, SIGTERM);
+        harness.runFor(milliseconds(3300));
+        const std::string request = formatRequest("GET", "/read/1", {{"Host", "h.example"}, {"X-Attempt-Id", "a1"}}, "");
+        ended.m_net->write(request.substr(0, 20));
+        unended.m_net->write(request.substr(0, 20));
+        harness.runFor(milliseconds(900));
+        CPPUNIT_ASSERT(!ended.m_closed);
+        ended.m_net->write(request.substr(20));
+        harness.runUntil("answers", [&] { return ended.isAnswered() && unended.isAnswered(); });
+        CPPUNIT_ASSERT_EQUAL(503, ended.m_reader.m_status);
+        CPPUNIT_ASSERT_EQUAL(503, unended.m_reader.m_status);
+        CPPUNIT_ASSERT(replica.m_requests.empty());
+    }
+
+    // Guards against calls to the store that grow with the number of replicas, as each renewal ends a watch on all keys.
+    void registrationsThatOnlyRenewDoNotEndOtherWatches()
+    {
+        GatewayHarness harness;
+        FakeServer replica;
+        replica.start(harness.m_loop, answerOk);
+        startServing(harness, {{"i-1", "plain", &replica}});
+        harness.runFor(milliseconds(1500));
+        harness.m_store.m_server.m_requests.clear();
+        for (int i = 0; i < 30; ++i) {
+            harness.m_store.putReplica("i-1", "plain", replica.address());
+            harness.runFor(milliseconds(100));
+        }
+        // Three seconds of renewals: the watch on registrations pauses for 500 ms between calls, the others go on waiting.
+        CPPUNIT_ASSERT(harness.m_store.m_server.requestsFor("/-/kv-watch?prefix=servers/").size() <= 7);
+        CPPUNIT_ASSERT_EQUAL(size_t(0), harness.m_store.m_server.requestsFor("/-/kv-watch?prefix=op").size());
+        CPPUNIT_ASSERT_EQUAL(size_t(0), harness.m_store.m_server.requestsFor("/-/kv-watch?prefix=entries").size());
+    }
+
+    // Guards against a configuration that is not in force after an outage of the store, as a call that waited before the
+    // outage returns nothing more.
+    void watchesGoOnAfterASilentOutage()
+    {
+        GatewayHarness harness;
+        FakeServer replica;
+        replica.start(harness.m_loop, answerOk);
+        const GatewayHarness::Process &gateway = startServing(harness, {{"i-1", "plain", &replica}});
+        harness.m_store.m_isSilent = true;
+        harness.m_store.m_watches.clear();
+        harness.runFor(milliseconds(4500)); // a renewal of the lease fails after two seconds
+        harness.m_store.m_isSilent = false;
+        nlohmann::json withdrawn = configuration(2);
+        withdrawn["tenants"][0]["api_keys"] = {"k2"};
+        harness.m_store.put("op/config", withdrawn.dump());
+        harness.runFor(milliseconds(3500));
+        CPPUNIT_ASSERT_EQUAL(401, ask(harness, gateway, "GET", "/keyed/1", "a1", {{"X-Api-Key", "k1"}}).m_reader.m_status);
+    }
+};
+
+CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(GatewayFaultsTest, "gateway_faults");
