List registrations anew without stale reads once they are in use

A stale listing after a lost history would replace what is in use by an older state: a replica that has left would get work again until the first watch call is answered. Tests: restartedProcessDoesNotUseAReplicaThatHasLeft, lostHistoryIsNotReplacedByAStaleListing.

--- a/src/gateway_internal.h
+++ b/src/gateway_internal.h
@@ -340,7 +340,8 @@
     Duration m_pause{}; ///< between the end of a call and the next one
     Duration m_wait{}; ///< how long the store may keep a call waiting
     bool m_listed = false; ///< the watch follows a full listing; not while it is read again
-    bool m_listsStale = false; ///< listings may be seconds old, which costs less; the first watch call adds what they lack
+    /** The listing may be seconds old, which costs less; nothing is served before a watch call has added what it lacks. */
+    bool m_listsStale = false;
     bool m_isCurrent = false; ///< a listing that is not stale, or a watch call after a stale one, has been answered
     bool m_wasCurrent = false; ///< m_isCurrent was true since the start of the process
     bool m_isWaiting = false; ///< a watch call is open
--- a/src/gateway_store.cpp
+++ b/src/gateway_store.cpp
@@ -431,7 +431,7 @@
     if (status == HTTP_STATUS_GONE) {
         writeLog(LogLevel::Info, "store", "Watch history is no longer available; listing again.", {{"prefix", watch.m_prefix}});
         watch.m_listed = false;
-        watch.m_listsStale = watch.m_listsStale && watch.m_isCurrent; // a stale listing may be older than the history
+        watch.m_listsStale = false; // the listing replaces what is in use, and a stale one may be older than that
         startListing(gateway, watch);
         return;
     }
--- a/tests/gateway_world.h
+++ b/tests/gateway_world.h
@@ -127,6 +127,8 @@
     static constexpr int64_t MaxShortWaitMs = 100; ///< watches that wait at most this long are answered at once
     int64_t m_revision = 1;
     bool m_isSilent = false; ///< no call is answered
+    bool m_isHistoryGone = false; ///< the next watch is answered with 410
+    std::map<std::string, std::pair<std::string, int64_t>> m_staleItems; ///< if any, what stale listings return
     std::vector<std::pair<std::shared_ptr<ReceivedRequest>, int64_t>> m_watches;
 
     void start(NetLoop &loop)
@@ -169,10 +171,10 @@
         return target.substr(begin, target.find('&', begin) - begin);
     }
 
-    [[nodiscard]] nlohmann::json itemsAfter(int64_t revision, const std::string &prefix) const
+    [[nodiscard]] nlohmann::json itemsAfter(int64_t revision, const std::string &prefix, bool stale = false) const
     {
         nlohmann::json items = nlohmann::json::array();
-        for (const auto &[key, item] : m_items) {
+        for (const auto &[key, item] : stale ? m_staleItems : m_items) {
             if (item.second > revision && key.compare(0, prefix.size(), prefix) == 0) {
                 items.push_back(
                     {{"key", key}, {"value", toBase64(item.first)}, {"revision", item.second}, {"created", item.second}, {"lease", 0}});
@@ -204,7 +206,10 @@
             return;
         }
         if (target.find("/-/kv-range") == 0) {
-            send(request, {{"entries", itemsAfter(0, parameter(target, "prefix"))}, {"more_pages", false}, {"as_of", m_revision}});
+            const bool stale = parameter(target, "allow_stale") == "1" && !m_staleItems.empty();
+            send(request, {{"entries", itemsAfter(0, parameter(target, "prefix"), stale)}, {"more_pages", false}, {"as_of", m_revision}});
+        } else if (target.find("/-/kv-watch") == 0 && std::exchange(m_isHistoryGone, false)) {
+            reply(request, formatAnswer(410, {}, "", true));
         } else if (target.find("/-/kv-watch") == 0) {
             answerWatch(request, std::stoll(parameter(target, "after")));
         } else if (target.find("/-/kv-txn") == 0) {
--- a/tests/test_gateway_faults.cpp
+++ b/tests/test_gateway_faults.cpp
@@ -25,6 +25,8 @@
     CPPUNIT_TEST(answersRequestsReadInPartAtTheEndOfShutdown);
     CPPUNIT_TEST(registrationsThatOnlyRenewDoNotEndOtherWatches);
     CPPUNIT_TEST(watchesGoOnAfterASilentOutage);
+    CPPUNIT_TEST(restartedProcessDoesNotUseAReplicaThatHasLeft);
+    CPPUNIT_TEST(lostHistoryIsNotReplacedByAStaleListing);
     CPPUNIT_TEST_SUITE_END();
 
     static Caller &ask(GatewayHarness &harness,
@@ -360,6 +362,41 @@
         harness.runFor(milliseconds(3500));
         CPPUNIT_ASSERT_EQUAL(401, ask(harness, gateway, "GET", "/keyed/1", "a1", {{"X-Api-Key", "k1"}}).m_reader.m_status);
     }
+
+    // Guards against a process that starts from a listing which is seconds old and uses a replica that has left since.
+    void restartedProcessDoesNotUseAReplicaThatHasLeft()
+    {
+        GatewayHarness harness;
+        FakeServer leaving;
+        FakeServer staying;
+        leaving.start(harness.m_loop, answerOk);
+        staying.start(harness.m_loop, answerOk);
+        harness.m_store.putReplica("i-1", "plain", leaving.address());
+        harness.m_store.putReplica("i-2", "plain", staying.address());
+        harness.m_store.m_staleItems = harness.m_store.m_items;
+        harness.m_store.putReplica("i-1", "plain", leaving.address(), "draining");
+        harness.m_store.put("op/config", configuration(1).dump());
+        const GatewayHarness::Process &gateway = harness.startGateway("g1");
+        for (int i = 0; i < 10; ++i) {
+            CPPUNIT_ASSERT_EQUAL(200, ask(harness, gateway, "GET", "/read/1", fmt::format("a{}", i)).m_reader.m_status);
+        }
+        CPPUNIT_ASSERT(leaving.m_requests.empty());
+    }
+
+    // Guards against a stale listing that replaces registrations in use, when the history of the store is no longer available.
+    void lostHistoryIsNotReplacedByAStaleListing()
+    {
+        GatewayHarness harness;
+        FakeServer replica;
+        replica.start(harness.m_loop, answerOk);
+        startServing(harness, {{"i-1", "plain", &replica}});
+        harness.m_store.m_server.m_requests.clear();
+        harness.m_store.m_isHistoryGone = true;
+        const auto listings = [&harness] { return harness.m_store.m_server.requestsFor("/-/kv-range?prefix=servers/"); };
+        harness.m_store.putReplica("i-1", "plain", replica.address());
+        harness.runUntil("new listing", [&] { return !listings().empty(); });
+        CPPUNIT_ASSERT_EQUAL(std::string::npos, listings().front()->m_request.m_target.find("allow_stale"));
+    }
 };
 
 CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(GatewayFaultsTest, "gateway_faults");
