--- a/tests/test_gateway_faults.cpp
+++ b/tests/test_gateway_faults.cpp
@@ -192,7 +192,9 @@
                                                              {"HTTP/1.1 200 OK\r\n", "X-Many: 1\r\n"},
                                                              {"HTTP/1.1 200 ", filler},
                                                              {"\r\n", "\r\n\r\n"}};
-        for (const auto &[start, more] : heads) {
+        for (const std::pair<std::string, std::string> &head : heads) {
+            const std::string &start = head.first;
+            const std::string &more = head.second;
             GatewayHarness harness;
             FakeServer replica;
             Flood flood;
--- a/tests/test_serving.cpp
+++ b/tests/test_serving.cpp
@@ -237,6 +237,7 @@
         Membership membership;
         membership.m_self = makeMember("n0", 0.12);
         std::vector<Member> members;
+        members.reserve(10);
         for (int i = 0; i < 10; ++i) {
             members.push_back(makeMember("n" + std::to_string(i), i < 7 ? 0.12 : 0.48));
         }
