--- a/src/gateway_internal.h
+++ b/src/gateway_internal.h
@@ -340,15 +340,13 @@
     Duration m_pause{}; ///< between the end of a call and the next one
     Duration m_wait{}; ///< how long the store may keep a call waiting
     bool m_listed = false; ///< the watch follows a full listing; not while it is read again
-    /** The listing may be seconds old, which costs less; nothing is served before a watch call has added what it lacks. */
-    bool m_listsStale = false;
-    bool m_isCurrent = false; ///< a listing that is not stale, or a watch call after a stale one, has been answered
-    bool m_wasCurrent = false; ///< m_isCurrent was true since the start of the process
     bool m_isWaiting = false; ///< a watch call is open
     bool m_isParked = false; ///< its last call failed; it goes on when another call to the store has succeeded
+    bool m_isCurrent = false; ///< nothing calls for a confirmation, see noticePause()
+    bool m_wasListed = false; ///< a full listing has been read since the start of the process
     int64_t m_revision = 0; ///< the watch continues after this revision
     std::vector<Platform::StoreItem> m_page; ///< items of an incomplete listing
-    int64_t m_listRevision = 0; ///< all later changes are not in the listing
+    int64_t m_listRevision = 0; ///< revision of the first page of the listing
     NetTimer m_timer;
     StoreConnection *m_connection = nullptr;
 };
@@ -370,7 +368,7 @@
 void startStore(Gateway &gateway);
 /** Reads the changes of configuration, members and registrations at once, and holds new requests until the store has answered. */
 void refreshStore(Gateway &gateway);
-/** Whether configuration, members and registrations have each been read, without a stale listing, since the start. */
+/** Whether configuration, members and registrations have each been listed since the start. */
 bool isListed(const Gateway &gateway);
 /** Removes this gateway from the membership. */
 void leaveMembership(Gateway &gateway);
--- a/src/gateway_requests.cpp
+++ b/src/gateway_requests.cpp
@@ -154,7 +154,7 @@
 /** Finds configuration, route and organisation of a request. @return false when the request was answered with an error. */
 bool admit(Gateway &gateway, Exchange &exchange)
 {
-    // A configuration from a stale listing alone may be older than one that was in force here before a restart.
+    // Without members and registrations, requests would be sent nowhere or to the wrong owner.
     if (!gateway.m_configuration || !isListed(gateway)) {
         refuseExchange(gateway, exchange, Reason::ConfigurationMissing);
         return false;
--- a/src/gateway_store.cpp
+++ b/src/gateway_store.cpp
@@ -27,19 +27,19 @@
 constexpr Duration WatchTimeoutMargin = seconds(2); ///< added to the wait of a watch for the timeout of its call
 /** Wait of the watches on keys that seldom change; long, as each call is billed. */
 constexpr Duration QuietWatchWait = seconds(25);
-/** Wait of the watch on registrations. Replicas renew them all the time, so a longer silence is a failure. */
-constexpr Duration RegistrationWatchWait = seconds(4);
+/** Wait of the watch on registrations; shorter, as a replica that leaves must be noticed even if a call hangs. */
+constexpr Duration RegistrationWatchWait = seconds(15);
 constexpr Duration ConfigurationWatchPause = milliseconds(100); ///< between calls; changes within this pause share one call
 constexpr Duration MembersWatchPause = milliseconds(1000); ///< as above; many gateways may join at once
 constexpr Duration MinRegistrationWatchPause = milliseconds(500);
-constexpr Duration MaxRegistrationWatchPause = milliseconds(3000);
-/** Part of GatewaySettings::m_leavingTime that remains for the call of a watch after its pause. */
-constexpr Duration LeavingMargin = milliseconds(1000);
+constexpr Duration MaxRegistrationWatchPause = milliseconds(1000);
+/** The pause is this part of GatewaySettings::m_leavingTime; the rest is for the call and for requests on their way. */
+constexpr int64_t LeavingTimeDivisor = 4;
 constexpr Duration StoreSilenceTimeout = milliseconds(3000); ///< whole seconds, the resolution of TCP keep-alive probes
 constexpr Duration BaseRetryDelay = milliseconds(150); ///< doubles with each consecutive failure
 constexpr Duration MaxRetryDelay = milliseconds(1200); ///< upper bound on the time to detect the end of an outage
 constexpr int MaxRetryDoublings = 3;
-constexpr Duration FirstWatchWait = milliseconds(10); ///< wait of the first watch call after a listing
+constexpr Duration ConfirmingWatchWait = milliseconds(10); ///< wait of a watch call that confirms what is known after a pause
 /** How long new requests wait for the store after a pause of the process. Without an answer, traffic goes on as known. */
 constexpr Duration ConfirmTimeout = milliseconds(500);
 constexpr Duration MaxParkedTime = seconds(3); ///< a parked watch is retried after this time at the latest
@@ -314,8 +314,8 @@
     StoreClient &store = gateway.m_store;
     const std::vector<Platform::StoreItem> items = std::exchange(watch.m_page, {});
     watch.m_listed = true;
-    watch.m_isCurrent = !watch.m_listsStale;
-    watch.m_wasCurrent = watch.m_wasCurrent || watch.m_isCurrent;
+    watch.m_isCurrent = true;
+    watch.m_wasListed = true;
     watch.m_revision = watch.m_listRevision;
     switch (watch.m_range) {
     case StoreRange::Configuration:
@@ -365,22 +365,9 @@
     parkWatch(gateway, watch);
 }
 
-/**
- * A revision after which the watch returns all changes that @p page lacks. Pages may differ in revision, and a stale page may
- * be older than the revision that its answer names, but not than its newest item.
- */
-int64_t changesFollow(const Platform::StoreItems &page, bool stale)
-{
-    int64_t newest = 0;
-    for (const Platform::StoreItem &item : page.m_items) {
-        newest = std::max(newest, item.m_revision);
-    }
-    return newest == 0 || !stale ? page.m_asOf : newest;
-}
-
 void readPage(Gateway &gateway, StoreWatch &watch, const std::string &after)
 {
-    const std::string target = Platform::formatRangeTarget(watch.m_prefix, after, watch.m_listsStale);
+    const std::string target = Platform::formatRangeTarget(watch.m_prefix, after);
     callStore(gateway, *watch.m_connection, "GET", target, "", CallTimeout, [&gateway, &watch](int status, const std::string &body) {
         absl::StatusOr<Platform::StoreItems> page =
             status == HTTP_STATUS_OK ? Platform::decodeItems(body) : absl::UnavailableError("no answer");
@@ -389,8 +376,8 @@
             return;
         }
         recordStoreAnswer(gateway);
-        const int64_t revision = changesFollow(*page, watch.m_listsStale);
-        watch.m_listRevision = watch.m_listRevision == 0 ? revision : std::min(watch.m_listRevision, revision);
+        // Pages may differ in revision, so the watch starts at the revision of the first page.
+        watch.m_listRevision = watch.m_listRevision == 0 ? page->m_asOf : watch.m_listRevision;
         const std::string last = page->m_items.empty() ? "" : page->m_items.back().m_key;
         const bool more = page->m_more && !last.empty();
         std::move(page->m_items.begin(), page->m_items.end(), std::back_inserter(watch.m_page));
@@ -421,7 +408,6 @@
         recordStoreAnswer(gateway);
         watch.m_revision = std::max(watch.m_revision, events->m_asOf);
         const bool wasCurrent = std::exchange(watch.m_isCurrent, true);
-        watch.m_wasCurrent = true;
         applyEvents(gateway, *events);
         confirm(gateway);
         const Duration pause = wasCurrent ? watch.m_pause : Duration(0);
@@ -431,7 +417,6 @@
     if (status == HTTP_STATUS_GONE) {
         writeLog(LogLevel::Info, "store", "Watch history is no longer available; listing again.", {{"prefix", watch.m_prefix}});
         watch.m_listed = false;
-        watch.m_listsStale = false; // the listing replaces what is in use, and a stale one may be older than that
         startListing(gateway, watch);
         return;
     }
@@ -442,8 +427,7 @@
 
 void callWatch(Gateway &gateway, StoreWatch &watch)
 {
-    // The first call after a listing only fetches what the listing lacks.
-    const Duration wait = watch.m_isCurrent ? watch.m_wait : FirstWatchWait;
+    const Duration wait = watch.m_isCurrent ? watch.m_wait : ConfirmingWatchWait;
     const std::string target = Platform::formatWatchTarget(watch.m_prefix, watch.m_revision, wait);
     watch.m_isWaiting = true;
     callStore(gateway,
@@ -458,15 +442,13 @@
 /** Pause of the watch on registrations, so that a replica that leaves gets no work later than the settings allow. */
 Duration registrationWatchPause(const GatewaySettings &settings)
 {
-    return std::clamp(settings.m_leavingTime - LeavingMargin, MinRegistrationWatchPause, MaxRegistrationWatchPause);
+    return std::clamp(settings.m_leavingTime / LeavingTimeDivisor, MinRegistrationWatchPause, MaxRegistrationWatchPause);
 }
 
 void addWatch(Gateway &gateway, StoreRange range, std::string_view prefix, Duration pause, Duration wait)
 {
     StoreWatch &watch = gateway.m_store.m_watches.emplace_back();
     watch.m_range = range;
-    // Registrations are renewed all the time, so that the newest of a listing is within the history of the store.
-    watch.m_listsStale = range == StoreRange::Registrations;
     watch.m_prefix = prefix;
     watch.m_pause = pause;
     watch.m_wait = wait;
@@ -601,7 +583,7 @@
 bool isListed(const Gateway &gateway)
 {
     return std::all_of(
-        gateway.m_store.m_watches.begin(), gateway.m_store.m_watches.end(), [](const StoreWatch &watch) { return watch.m_wasCurrent; });
+        gateway.m_store.m_watches.begin(), gateway.m_store.m_watches.end(), [](const StoreWatch &watch) { return watch.m_wasListed; });
 }
 
 void leaveMembership(Gateway &gateway)
