--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,2 @@
+#!/usr/bin/env bash
+. "$(dirname "$0")/../stand-ins/run-case.sh"
