--- a/review/stand-ins/world.h
+++ b/review/stand-ins/world.h
@@ -106,9 +106,13 @@
     return "127.0.0.1:" + std::to_string(port);
 }
 
-inline int connectTo(const std::string &address)
+/** @param receiveBuffer size of the socket's receive buffer in bytes; 0: as the system chooses */
+inline int connectTo(const std::string &address, int receiveBuffer = 0)
 {
     const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    if (receiveBuffer > 0) {
+        setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &receiveBuffer, sizeof receiveBuffer);
+    }
     sockaddr_in target{};
     target.sin_family = AF_INET;
     target.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
