--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -11,10 +11,12 @@
 
 namespace {
 
-constexpr int Requests = 120;
+constexpr int Callers = 4;
+constexpr int RequestsPerCaller = 75;
 constexpr int SpoiledEvery = 20; ///< one answer in so many of the faulty replica: x = 0.05
 std::atomic<int> spoiled = 0;
 std::atomic<int> answered = 0;
+std::atomic<int> owed = 0; ///< answers to spoil; a connection's first answer can't be
 std::mutex runsMutex;
 std::set<std::string> runs;
 
@@ -33,8 +35,10 @@
         runs.insert(id);
     }
     record("replica %s runs %s", replica.c_str(), id.c_str());
-    sleepFor(0.005);
-    if (isFaulty && ++answered % SpoiledEvery == 0 && !previous.empty()) {
+    sleepFor(0.02);
+    owed += isFaulty && ++answered % SpoiledEvery == 0 ? 1 : 0;
+    if (isFaulty && owed > 0 && !previous.empty()) {
+        owed -= 1;
         spoiled += 1;
         record("replica %s sends a second answer to %s, without a length, where the answer to %s is expected, and closes",
                replica.c_str(), previous.c_str(), id.c_str());
@@ -59,19 +63,27 @@
         record("the gateway is not ready");
         return NotRun;
     }
-    int foreign = 0;
-    for (int i = 0; i < Requests; ++i) {
-        const std::string id = "pay" + std::to_string(1000 + i);
-        Client client(gateway.m_front);
-        const Message answer = client.call("POST", "/charge/1", id, "", "charge " + id);
-        const bool isSuccess = answer.m_complete && answer.status() / 100 == 2;
-        const bool isForeign = isSuccess && (answer.m_body != bodyFor(id) || answer.header("x-attempt-id") != id);
-        record("client %s got %d, seal '%s', body '%s'%s", id.c_str(), answer.status(), answer.header("x-replica-seal").c_str(),
-               answer.m_body.substr(0, answer.m_body.find('\n')).c_str(), isForeign ? "  <-- the answer to another request" : "");
-        foreign += isForeign ? 1 : 0;
-        sleepFor(0.02);
+    std::atomic<int> foreign = 0;
+    std::vector<std::thread> callers;
+    for (int caller = 0; caller < Callers; ++caller) {
+        callers.emplace_back([&, caller] {
+            for (int i = 0; i < RequestsPerCaller; ++i) {
+                const std::string id = "pay" + std::to_string(caller) + "x" + std::to_string(i);
+                Client client(gateway.m_front);
+                const Message answer = client.call("POST", "/charge/1", id, "", "charge " + id);
+                const bool isSuccess = answer.m_complete && answer.status() / 100 == 2;
+                const bool isForeign = isSuccess && (answer.m_body != bodyFor(id) || answer.header("x-attempt-id") != id);
+                record("client %s got %d, seal '%s', body '%s'%s", id.c_str(), answer.status(), answer.header("x-replica-seal").c_str(),
+                       answer.m_body.substr(0, answer.m_body.find('\n')).c_str(), isForeign ? "  <-- the answer to another request" : "");
+                foreign += isForeign ? 1 : 0;
+                sleepFor(0.02);
+            }
+        });
     }
-    record("%d requests, %d answers spoiled, %d clients got a success that belongs to another request", Requests, spoiled.load(), foreign);
+    for (std::thread &caller : callers) {
+        caller.join();
+    }
+    record("%d requests, %d answers spoiled, %d clients got a success that belongs to another request", Callers * RequestsPerCaller, spoiled.load(), foreign.load());
     return foreign > 0 ? Broken : Held;
 }
 
