--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -41,7 +41,9 @@
         owed -= 1;
         spoiled += 1;
         record("replica %s sends a second answer to %s, without a length, where the answer to %s is expected, and closes",
-               replica.c_str(), previous.c_str(), id.c_str());
+               replica.c_str(),
+               previous.c_str(),
+               id.c_str());
         sendAll(connection.m_fd, "HTTP/1.1 200 OK\r\n" + sealed(previous, replica) + "Connection: close\r\n\r\n" + bodyFor(previous));
         return false;
     }
@@ -55,7 +57,9 @@
     Server &second = *new Server;
     first.start([&](Connection &connection, const Message &request) { return serve("i-one", trouble, connection, request); });
     second.start([&](Connection &connection, const Message &request) { return serve("i-two", false, connection, request); });
-    store.put("op/config", configuration(1, json::array({route("charge", "non_idempotent", "kiosk-core", 1)}), json::array({service("kiosk-core", false)})));
+    store.put(
+        "op/config",
+        configuration(1, json::array({route("charge", "non_idempotent", "kiosk-core", 1)}), json::array({service("kiosk-core", false)})));
     store.put("servers/i-one", registration("kiosk-core", first.address(), "ready", 6));
     store.put("servers/i-two", registration("kiosk-core", second.address(), "ready", 6));
     const Gateway &gateway = startGateway("edge-1", store.open("edge-1"));
@@ -73,8 +77,12 @@
                 const Message answer = client.call("POST", "/charge/1", id, "", "charge " + id);
                 const bool isSuccess = answer.m_complete && answer.status() / 100 == 2;
                 const bool isForeign = isSuccess && (answer.m_body != bodyFor(id) || answer.header("x-attempt-id") != id);
-                record("client %s got %d, seal '%s', body '%s'%s", id.c_str(), answer.status(), answer.header("x-replica-seal").c_str(),
-                       answer.m_body.substr(0, answer.m_body.find('\n')).c_str(), isForeign ? "  <-- the answer to another request" : "");
+                record("client %s got %d, seal '%s', body '%s'%s",
+                       id.c_str(),
+                       answer.status(),
+                       answer.header("x-replica-seal").c_str(),
+                       answer.m_body.substr(0, answer.m_body.find('\n')).c_str(),
+                       isForeign ? "  <-- the answer to another request" : "");
                 foreign += isForeign ? 1 : 0;
                 sleepFor(0.02);
             }
@@ -83,7 +91,10 @@
     for (std::thread &caller : callers) {
         caller.join();
     }
-    record("%d requests, %d answers spoiled, %d clients got a success that belongs to another request", Callers * RequestsPerCaller, spoiled.load(), foreign.load());
+    record("%d requests, %d answers spoiled, %d clients got a success that belongs to another request",
+           Callers * RequestsPerCaller,
+           spoiled.load(),
+           foreign.load());
     return foreign > 0 ? Broken : Held;
 }
 
--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -29,7 +29,9 @@
     const int after = last.empty() ? 0 : std::stoi(last);
     record("replica %s runs %s from event %d", replica.c_str(), id.c_str(), after + 1);
     const bool isSpoiled = isFaulty && ++answered % SpoiledEvery == 0;
-    bool sent = sendAll(connection.m_fd, "HTTP/1.1 200 OK\r\n" + sealed(id, replica) + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
+    bool sent =
+        sendAll(connection.m_fd,
+                "HTTP/1.1 200 OK\r\n" + sealed(id, replica) + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
     for (int number = after + 1; sent && number <= Events; ++number) {
         sleepFor(0.005);
         const std::string text = event(id, number);
@@ -74,12 +76,18 @@
         char prefix[64];
         std::snprintf(prefix, sizeof prefix, "X-Prefix-Hash: %x:80,%x:250\r\n", 0x5c10 + 7919 * i, 0xe4402b7d + i);
         Client client(gateway.m_front);
-        const Message answer = client.call("POST", "/fault-diag/1", id, std::string("X-Model: m\r\nX-Token-Count: 330,40\r\n") + prefix, "prompt " + id, 15000);
+        const Message answer = client.call(
+            "POST", "/fault-diag/1", id, std::string("X-Model: m\r\nX-Token-Count: 330,40\r\n") + prefix, "prompt " + id, 15000);
         // A stream that ends early may be cut anywhere between events; one that ends as complete has to be whole.
         const bool isPart = whole.compare(0, answer.m_body.size(), answer.m_body) == 0;
         const bool isBad = answer.status() == 200 && (answer.m_complete ? answer.m_body != whole : !isPart);
-        record("client %s got %d, %s, %zu of %zu bytes%s", id.c_str(), answer.status(), answer.m_complete ? "complete" : "cut", answer.m_body.size(),
-               whole.size(), isBad ? "  <-- not the stream of one run:" : "");
+        record("client %s got %d, %s, %zu of %zu bytes%s",
+               id.c_str(),
+               answer.status(),
+               answer.m_complete ? "complete" : "cut",
+               answer.m_body.size(),
+               whole.size(),
+               isBad ? "  <-- not the stream of one run:" : "");
         if (isBad) {
             joined += 1;
             record("%s", json(answer.m_body).dump().c_str());
--- a/review/3/case.cpp
+++ b/review/3/case.cpp
@@ -28,7 +28,9 @@
 {
     json stock = route("stock", "idempotent", "kiosk-core", 2, timeoutMs);
     stock["anonymous"] = false;
-    return configuration(number, json::array({stock}), json::array({service("kiosk-core", false)}),
+    return configuration(number,
+                         json::array({stock}),
+                         json::array({service("kiosk-core", false)}),
                          json::array({{{"name", "bozi300"}, {"api_keys", keys}, {"priority", 1}}}));
 }
 
@@ -76,8 +78,12 @@
             const bool isStale = answer.status() == 200 && sent > ConfigApply;
             refused += answer.status() == 401 ? 1 : 0;
             stale += isStale ? 1 : 0;
-            record("client %s sent to %s %.2f s after the acknowledgement, with the key that was taken away, got %d%s", id.c_str(),
-                   gateway->m_name.c_str(), sent, answer.status(), isStale ? "  <-- served by an older version" : "");
+            record("client %s sent to %s %.2f s after the acknowledgement, with the key that was taken away, got %d%s",
+                   id.c_str(),
+                   gateway->m_name.c_str(),
+                   sent,
+                   answer.status(),
+                   isStale ? "  <-- served by an older version" : "");
             if (isStale) {
                 last[gateway->m_name] = sent;
             }
@@ -87,7 +93,10 @@
     for (const auto &[name, at] : last) {
         record("%s still served the key %.2f s after the acknowledgement", name.c_str(), at);
     }
-    record("%d requests refused, %d requests served with the key later than %.0f s after its removal, by %zu gateways", refused, stale, ConfigApply,
+    record("%d requests refused, %d requests served with the key later than %.0f s after its removal, by %zu gateways",
+           refused,
+           stale,
+           ConfigApply,
            last.size());
     return stale > 0 ? Broken : Held;
 }
--- a/review/stand-ins/world.h
+++ b/review/stand-ins/world.h
@@ -269,8 +269,7 @@
         } else if (message.m_headers.contains("content-length")) {
             message.m_complete = bytes(message.m_body, std::stoul(message.header("content-length")), until);
         } else if (isAnswer) {
-            while (more(until)) {
-            }
+            while (more(until)) {}
             message.m_body = std::exchange(m_buffer, "");
             message.m_complete = !m_reset && seconds() < until;
         } else {
@@ -282,7 +281,8 @@
 
 inline std::string formatAnswer(int status, const std::string &headers, const std::string &body)
 {
-    return "HTTP/1.1 " + std::to_string(status) + " Status\r\n" + headers + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    return "HTTP/1.1 " + std::to_string(status) + " Status\r\n" + headers + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n"
+        + body;
 }
 
 inline std::string formatChunk(const std::string &data)
@@ -469,8 +469,8 @@
     size_t count(const std::string &prefix)
     {
         const std::lock_guard lock(m_mutex);
-        return static_cast<size_t>(
-            std::count_if(m_items.begin(), m_items.end(), [&](const auto &item) { return item.first.compare(0, prefix.size(), prefix) == 0; }));
+        return static_cast<size_t>(std::count_if(
+            m_items.begin(), m_items.end(), [&](const auto &item) { return item.first.compare(0, prefix.size(), prefix) == 0; }));
     }
 
     bool m_logsCalls = false;
@@ -681,17 +681,22 @@
 {
     json value{{"name", name}, {"health_path", "/healthz"}, {"max_connections", 280}, {"protocol", "h1"}, {"tls", false}};
     if (isEngine) {
-        value["engine"] = {{"slots", 64}, {"kv_capacity", 536094}, {"kv_token_bytes", 18432}, {"link_mbps", 370000.0}, {"models", json::array({{{"name", "m"}}})}};
+        value["engine"] = {{"slots", 64},
+                           {"kv_capacity", 536094},
+                           {"kv_token_bytes", 18432},
+                           {"link_mbps", 370000.0},
+                           {"models", json::array({{{"name", "m"}}})}};
     }
     return value;
 }
 
 inline json configuration(int version, const json &routes, const json &services, const json &tenants = json::array())
 {
-    json value{{"version", version},
-               {"routes", routes},
-               {"services", services},
-               {"limits", {{"max_header_bytes", 16384}, {"max_body_bytes", 4194304}, {"header_timeout_ms", 3000}, {"idle_timeout_ms", 15000}}}};
+    json value{
+        {"version", version},
+        {"routes", routes},
+        {"services", services},
+        {"limits", {{"max_header_bytes", 16384}, {"max_body_bytes", 4194304}, {"header_timeout_ms", 3000}, {"idle_timeout_ms", 15000}}}};
     value["tenants"] = tenants;
     return value;
 }
@@ -785,22 +790,22 @@
     gateway.m_front = freeAddress();
     gateway.m_ready = freeAddress();
     gateway.m_settings = folder + "/" + name + ".json";
-    std::ofstream(gateway.m_settings) << json{{"node", name},
-                                              {"failure_domain", "z-a"},
-                                              {"front", gateway.m_front},
-                                              {"readiness", gateway.m_ready},
-                                              {"peers", freeAddress()},
-                                              {"store", storeAddress},
-                                              {"processor_share", 0.25},
-                                              {"memory_mb", 260},
-                                              {"drain_ms", 8000},
-                                              {"heartbeat_ms", 1200},
-                                              {"leaving_ms", 2000},
-                                              {"repeat_ratio", 0.2},
-                                              {"repeat_extra", 58},
-                                              {"repeat_window_ms", 10000},
-                                              {"min_lease_ms", 1000}}
-                                             .dump(4);
+    std::ofstream(gateway.m_settings) << json{
+        {"node", name},
+        {"failure_domain", "z-a"},
+        {"front", gateway.m_front},
+        {"readiness", gateway.m_ready},
+        {"peers", freeAddress()},
+        {"store", storeAddress},
+        {"processor_share", 0.25},
+        {"memory_mb", 260},
+        {"drain_ms", 8000},
+        {"heartbeat_ms", 1200},
+        {"leaving_ms", 2000},
+        {"repeat_ratio", 0.2},
+        {"repeat_extra", 58},
+        {"repeat_window_ms", 10000},
+        {"min_lease_ms", 1000}}.dump(4);
     launch(gateway);
     return gateway;
 }
@@ -826,8 +831,12 @@
     Client(const Client &) = delete;
     Client &operator=(const Client &) = delete;
 
-    Message call(const std::string &method, const std::string &path, const std::string &id, const std::string &headers = "",
-                 const std::string &body = "", int deadlineMs = 4000)
+    Message call(const std::string &method,
+                 const std::string &path,
+                 const std::string &id,
+                 const std::string &headers = "",
+                 const std::string &body = "",
+                 int deadlineMs = 4000)
     {
         std::string text = method + " " + path + " HTTP/1.1\r\nHost: review.example\r\nX-Attempt-Id: " + id
             + "\r\nX-Deadline-Ms: " + std::to_string(deadlineMs) + "\r\n" + headers;
