--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,2 +1,2 @@
 #!/usr/bin/env bash
-. "$(dirname "$0")/../stand-ins/run-case.sh"
+. "$(dirname "$0")/../run-case.sh"
--- a/review/stand-ins/run-case.sh
+++ b/review/run-case.sh
@@ -3,7 +3,7 @@
 review=$(dirname "$case_folder")
 cd "$review/.."
 program="$PWD/target/medlarramp"
-driver="$review/out/case-$(basename "$case_folder")"
+driver="$PWD/target/review/case-$(basename "$case_folder")"
 [ -x "$program" ] && [ -x "$driver" ] || { echo "build first: the build of deploy/system.toml, and review/build.sh" >&2; exit 2; }
 folder=$(mktemp -d)
 trap 'rm -rf "$folder"' EXIT
