--- a/src/gateway_internal.h
+++ b/src/gateway_internal.h
@@ -41,6 +41,14 @@
     Malformed, ///< the received bytes are not a valid HTTP answer
 };
 
+/** What the message that is being read from an upstream connection is. Decided once for each message, when its head is complete. */
+enum class MessageKind : uint8_t {
+    Unknown, ///< its head is not complete
+    Answer, ///< the answer to the open call
+    Skipped, ///< informational, or a late answer to an earlier call; read to its end and dropped
+    Invalid, ///< belongs to no call that can be told
+};
+
 struct UpstreamConnection;
 
 /** One HTTP request to an upstream. Callers refer to it by m_number; it ends with m_onEnd or cancelCall(). */
@@ -66,7 +74,7 @@
     std::string m_lastAttemptId; ///< of the previous call on this connection; a late copy of its answer may still arrive
     bool m_isReused = false; ///< the connection has carried an answer before
     int m_informational = 0; ///< 1xx answers to the open call
-    bool m_isHeadObserved = false; ///< the head of the current answer has been read for notices of the replica
+    MessageKind m_messageKind = MessageKind::Unknown; ///< of the message that is being read
     TimePoint m_idleSince;
     Duration m_idleLimit{}; ///< maximum idle time; the replica closes the connection soon after
 
@@ -100,6 +108,7 @@
 UpstreamCall *startCall(Gateway &gateway, const std::string &replica, UpstreamCall prototype, ConnectionUse use);
 /** Cancels a call without calling m_onEnd. Closes the connection, so that the replica stops its work. */
 void cancelCall(Gateway &gateway, uint64_t number);
+/** The answer to @p call as far as it was received. Its state is never Body or Done for a message that is not the answer. */
 HttpReader &answerReader(UpstreamCall &call);
 /** Updates the upstreams from the registry. */
 void syncUpstreams(Gateway &gateway);
--- a/src/gateway_upstreams.cpp
+++ b/src/gateway_upstreams.cpp
@@ -65,6 +65,24 @@
     return reader.m_status >= 100 && reader.m_status < 200;
 }
 
+MessageKind classifyMessage(UpstreamConnection &connection)
+{
+    if (isInformational(connection.m_reader)) {
+        return ++connection.m_informational <= UpstreamConnection::MaxInformational ? MessageKind::Skipped : MessageKind::Invalid;
+    }
+    if (isUnidentified(connection)) {
+        return MessageKind::Invalid;
+    }
+    return isStaleAnswer(*connection.m_call, connection.m_reader) ? MessageKind::Skipped : MessageKind::Answer;
+}
+
+/** Prepares for the next message on the connection. */
+void startMessage(UpstreamConnection &connection)
+{
+    connection.m_reader.reset();
+    connection.m_messageKind = MessageKind::Unknown;
+}
+
 void keepConnection(Gateway &gateway, UpstreamConnection *connection)
 {
     Upstream *upstream = findUpstream(gateway, connection->m_replica);
@@ -78,8 +96,7 @@
     connection->m_idleSince = gatewayNow(gateway);
     connection->m_isReused = true;
     connection->m_informational = 0;
-    connection->m_isHeadObserved = false;
-    connection->m_reader.reset();
+    startMessage(*connection);
     upstream->m_idle.push_back(connection);
 }
 
@@ -101,6 +118,9 @@
     auto owned = std::move(gateway.m_calls.at(call->m_number));
     gateway.m_calls.erase(call->m_number);
     connection->m_lastAttemptId = owned->m_attemptId;
+    if (connection->m_messageKind != MessageKind::Answer) {
+        connection->m_reader.reset(); // the callback must not read a message of another call
+    }
     if (owned->m_onEnd) {
         owned->m_onEnd(*owned, end);
     }
@@ -128,11 +148,14 @@
              {{"replica", connection.m_replica}, {"pause_ms", fmt::format("{}", pause->count() / 1000)}});
 }
 
-/** Learns what the replica says of itself, from any answer, also one that is not forwarded. */
+/**
+ * Learns what the replica says of itself, from any answer, also one that is not forwarded. A replica that leaves does not come
+ * back; a pause, however, starts with the refusal, so that one in a late answer would be extended.
+ */
 void observeNotices(Gateway &gateway, const UpstreamConnection &connection)
 {
     const HttpReader &reader = connection.m_reader;
-    if (reader.m_status == HTTP_STATUS_SERVICE_UNAVAILABLE) {
+    if (reader.m_status == HTTP_STATUS_SERVICE_UNAVAILABLE && connection.m_messageKind == MessageKind::Answer) {
         observeRefusal(gateway, connection);
     }
     if (findHeader(reader.m_headers, Platform::ServerLeaving) == "1" && observeLeaving(gateway.m_registry, connection.m_replica)) {
@@ -160,37 +183,37 @@
     return gateway.m_calls.contains(number);
 }
 
+/** Reads the messages in @p data. Each way to the end of a message passes its kind. */
 void readAnswer(Gateway &gateway, UpstreamConnection *connection, std::string_view data)
 {
+    HttpReader &reader = connection->m_reader;
     while (!data.empty()) {
         if (connection->m_call == nullptr) {
             closeUpstream(gateway, connection); // bytes without an open request
             return;
         }
         connection->m_call->m_lastByteAt = gatewayNow(gateway);
-        HttpReader &reader = connection->m_reader;
         data.remove_prefix(reader.feed(data));
-        const bool headDone = reader.m_state == ParseState::Body || reader.m_state == ParseState::Done;
-        if (headDone && !std::exchange(connection->m_isHeadObserved, true)) {
-            observeNotices(gateway, *connection);
-        }
-        if (headDone && isInformational(reader) && ++connection->m_informational <= UpstreamConnection::MaxInformational) {
-            reader.reset();
-            connection->m_isHeadObserved = false;
+        if (reader.m_state == ParseState::Head) {
             continue;
         }
-        if (headDone && (isInformational(reader) || isUnidentified(*connection))) {
+        const bool isMessage = reader.m_state == ParseState::Body || reader.m_state == ParseState::Done;
+        if (isMessage && connection->m_messageKind == MessageKind::Unknown) {
+            connection->m_messageKind = classifyMessage(*connection);
+            observeNotices(gateway, *connection);
+        }
+        if (!isMessage || connection->m_messageKind == MessageKind::Invalid) {
             finishCall(gateway, connection, CallEnd::Malformed);
             return;
         }
-        if (headDone && isStaleAnswer(*connection->m_call, reader)) {
+        if (connection->m_messageKind == MessageKind::Skipped) {
+            reader.m_body.clear();
             if (reader.m_state == ParseState::Done) {
-                reader.reset();
-                connection->m_isHeadObserved = false;
+                startMessage(*connection);
             }
             continue;
         }
-        if (headDone && !reportProgress(gateway, connection)) {
+        if (!reportProgress(gateway, connection)) {
             return;
         }
         if (reader.m_state == ParseState::Done) {
@@ -200,10 +223,6 @@
             finishCall(gateway, connection, CallEnd::Done);
             return;
         }
-        if (reader.m_state != ParseState::Head && reader.m_state != ParseState::Body) {
-            finishCall(gateway, connection, CallEnd::Malformed);
-            return;
-        }
     }
 }
 
@@ -218,7 +237,7 @@
     if (cause == CloseCause::End && reader.m_state == ParseState::Body && !reader.m_framed) {
         reader.feedEnd();
     }
-    if (reader.m_state == ParseState::Done) {
+    if (reader.m_state == ParseState::Done && connection->m_messageKind == MessageKind::Answer) {
         finishCall(gateway, connection, CallEnd::Done);
         return;
     }
--- a/tests/test_gateway_faults.cpp
+++ b/tests/test_gateway_faults.cpp
@@ -12,6 +12,8 @@
 {
     CPPUNIT_TEST_SUITE(GatewayFaultsTest);
     CPPUNIT_TEST(skipsLateCopyOfAnEarlierAnswer);
+    CPPUNIT_TEST(dropsLateAnswersHoweverTheyEnd);
+    CPPUNIT_TEST(learnsOnlyWhatLastsFromLateAnswers);
     CPPUNIT_TEST(rejectsUnidentifiedAnswerOnReusedConnection);
     CPPUNIT_TEST(ignoresLateCopyOfARefusalOfTheSameAttempt);
     CPPUNIT_TEST(skipsInformationalAnswers);
@@ -71,6 +73,76 @@
         CPPUNIT_ASSERT_EQUAL(1, replica.m_connections);
     }
 
+    // Guards against a late answer to an earlier request that is handed to the next caller because it ends in an unusual way.
+    void dropsLateAnswersHoweverTheyEnd()
+    {
+        const std::string head = "HTTP/1.1 200 OK\r\nX-Attempt-Id: {0}\r\nX-Replica-Seal: seal-of-{0}\r\n";
+        const std::string hint = "HTTP/1.1 103 Early Hints\r\n\r\n";
+        const std::string body = "id: 1\ndata: of {0}\n\n";
+        const std::string whole =
+            head + fmt::format("Content-Length: {}\r\n\r\n", fmt::format(fmt::runtime(body), "first-0").size()) + body;
+        const std::string copies[] = {
+            head + "\r\n" + body,
+            hint + head + "\r\n" + body,
+            whole + head + "\r\n" + body,
+            whole + hint + head + "X-At",
+            head + "Content-Length: 9999\r\n\r\n" + body,
+            head + "Transfer-Encoding: chunked\r\n\r\n40\r\n" + body,
+            head + "Transfer-Encoding: chunked\r\n\r\n18\r\n" + body + "\r\nzz\r\n",
+            "HTTP/1.1 500 Failed\r\nX-Attempt-Id: {0}\r\nX-Replica-Seal: s\r\n\r\n" + body,
+        };
+        GatewayHarness harness;
+        FakeServer replica;
+        size_t form = 0;
+        std::set<NetConnection *> used;
+        int reused = 0;
+        replica.start(harness.m_loop, [&](FakeServer &, const std::shared_ptr<ReceivedRequest> &request) {
+            const std::string id(findHeader(request->m_request.m_headers, "X-Attempt-Id").value_or(""));
+            if (id.find("first") == 0) {
+                used.insert(request->m_net);
+                reply(request, answerFor(id, event(1)));
+                return;
+            }
+            reused += used.contains(request->m_net) ? 1 : 0;
+            reply(request, fmt::format(fmt::runtime(copies[form]), fmt::format("first-{}", form)));
+            request->m_net->closeAfterWrites();
+        });
+        const GatewayHarness::Process &gateway = startServing(harness, {{"i-1", "plain", &replica}, {"i-2", "model", &replica}});
+        for (const char *target : {"/plain/1", "/read/1", "/stream/1"}) {
+            for (form = 0; form < std::size(copies); ++form) {
+                used.clear();
+                reused = 0;
+                ask(harness, gateway, "POST", target, fmt::format("first-{}", form));
+                const Caller &caller = ask(harness, gateway, "POST", target, fmt::format("second-{}", form));
+                const std::string what = fmt::format("{}, form {}", target, form);
+                CPPUNIT_ASSERT_MESSAGE(what + ": the connection was not used again", reused > 0);
+                CPPUNIT_ASSERT_MESSAGE(what + ": " + caller.m_raw, caller.m_raw.find("first") == std::string::npos);
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(what, 502, caller.m_reader.m_status);
+            }
+        }
+    }
+
+    // Guards against a pause that begins again with a late copy of a refusal, and against a copy that hides a leaving replica.
+    void learnsOnlyWhatLastsFromLateAnswers()
+    {
+        GatewayHarness harness;
+        FakeServer replica;
+        std::string copy = "HTTP/1.1 503 Busy\r\nX-Attempt-Id: a0\r\nX-Not-Executed: 1\r\nRetry-After: 60\r\nContent-Length: 0\r\n\r\n";
+        replica.start(harness.m_loop, [&copy](FakeServer &server, const std::shared_ptr<ReceivedRequest> &request) {
+            const std::string id(findHeader(request->m_request.m_headers, "X-Attempt-Id").value_or(""));
+            reply(request, (server.m_requests.size() > 1 ? copy : "") + answerFor(id, "for " + id));
+        });
+        const GatewayHarness::Process &gateway = startServing(harness, {{"i-1", "plain", &replica}});
+        for (const char *id : {"a1", "a2", "a3"}) {
+            CPPUNIT_ASSERT_EQUAL(std::string("for ") + id, ask(harness, gateway, "POST", "/plain/1", id).m_reader.m_body);
+        }
+        CPPUNIT_ASSERT_EQUAL(1, replica.m_connections);
+        copy = "HTTP/1.1 200 OK\r\nX-Attempt-Id: a0\r\nServer-Leaving: 1\r\nContent-Length: 0\r\n\r\n";
+        CPPUNIT_ASSERT_EQUAL(std::string("for a4"), ask(harness, gateway, "POST", "/plain/1", "a4").m_reader.m_body);
+        CPPUNIT_ASSERT_EQUAL(503, ask(harness, gateway, "POST", "/plain/1", "a5").m_reader.m_status);
+        CPPUNIT_ASSERT_EQUAL(size_t(4), replica.m_requests.size());
+    }
+
     // Guards against a late copy of an answer that does not say which request it belongs to.
     void rejectsUnidentifiedAnswerOnReusedConnection()
     {
