--- a/src/gateway_attempts.cpp
+++ b/src/gateway_attempts.cpp
@@ -118,23 +118,23 @@
 
 void releaseTokens(Gateway &gateway, Exchange &exchange)
 {
-    const auto upstream = gateway.m_upstreams.find(exchange.m_replica);
-    if (exchange.m_countsTokens && upstream != gateway.m_upstreams.end()) {
+    const auto upstream = gateway.m_upstreams.find(exchange.m_attempt->m_replica);
+    if (exchange.m_attempt->m_countsTokens && upstream != gateway.m_upstreams.end()) {
         upstream->second.m_pendingTokens -= promptTokens(exchange);
     }
-    exchange.m_countsTokens = false;
+    exchange.m_attempt->m_countsTokens = false;
 }
 
 /** Removes the attempt from the load of its replica and stops its timer. */
 void releaseReplica(Gateway &gateway, Exchange &exchange)
 {
     releaseTokens(gateway, exchange);
-    const auto upstream = gateway.m_upstreams.find(exchange.m_replica);
+    const auto upstream = gateway.m_upstreams.find(exchange.m_attempt->m_replica);
     if (upstream != gateway.m_upstreams.end()) {
         upstream->second.m_running -= 1;
     }
-    exchange.m_call = 0;
-    exchange.m_attemptTimer.stop();
+    exchange.m_attempt->m_call = 0;
+    exchange.m_attempt->m_timer.stop();
 }
 
 /** Whether the replica itself sent the answer: it has the seal header and no content encoding. */
@@ -195,7 +195,7 @@
 /** Removes the complete events from the partial-event buffer and returns those that the caller has not received yet. */
 std::string takeEvents(Exchange &exchange)
 {
-    std::string &buffer = exchange.m_partialEvent;
+    std::string &buffer = exchange.m_attempt->m_partialEvent;
     std::string events;
     size_t start = 0;
     size_t end = 0;
@@ -219,9 +219,9 @@
 /** Forwards complete events to the caller. @return false when the exchange was aborted because the caller reads too slowly. */
 bool forwardEvents(Gateway &gateway, Exchange &exchange, HttpReader &reader)
 {
-    exchange.m_partialEvent += std::exchange(reader.m_body, std::string());
-    if (!exchange.m_attemptBegan && exchange.m_partialEvent.find("\n\n") != std::string::npos) {
-        exchange.m_attemptBegan = true;
+    exchange.m_attempt->m_partialEvent += std::exchange(reader.m_body, std::string());
+    if (!exchange.m_attempt->m_began && exchange.m_attempt->m_partialEvent.find("\n\n") != std::string::npos) {
+        exchange.m_attempt->m_began = true;
         clearParts(gateway, sharedPartIds(exchange.m_parts));
     }
     const std::string events = takeEvents(exchange);
@@ -241,8 +241,8 @@
     startDeadlineTimer(gateway, exchange, exchange.m_deadline);
     releaseTokens(gateway, exchange);
     releaseStages(gateway, exchange, true);
-    const Duration latency = gatewayNow(gateway) - exchange.m_attemptStartedAt;
-    recordAttempt(gateway, exchange.m_replica, false, false, latency);
+    const Duration latency = gatewayNow(gateway) - exchange.m_attempt->m_startedAt;
+    recordAttempt(gateway, exchange.m_attempt->m_replica, false, false, latency);
     beginStream(gateway, *exchange.m_caller, reader.m_status, answerHeaders(reader), events);
     return true;
 }
@@ -257,8 +257,7 @@
     if (!forwardEvents(gateway, exchange, reader)) {
         return;
     }
-    const bool whole = end == CallEnd::Done && exchange.m_partialEvent.empty();
-    exchange.m_partialEvent.clear();
+    const bool whole = end == CallEnd::Done && exchange.m_attempt->m_partialEvent.empty();
     if (whole && exchange.m_streaming) {
         releaseReplica(gateway, exchange);
         finishStream(gateway, exchange);
@@ -282,9 +281,9 @@
 /** Handles a complete error answer of a replica: retries a server error if allowed, otherwise forwards the answer. */
 void handleReplicaFailure(Gateway &gateway, Exchange &exchange, HttpReader &reader)
 {
-    const Duration latency = gatewayNow(gateway) - exchange.m_attemptStartedAt;
+    const Duration latency = gatewayNow(gateway) - exchange.m_attempt->m_startedAt;
     const bool isServerError = reader.m_status >= 500;
-    recordAttempt(gateway, exchange.m_replica, isServerError, false, latency);
+    recordAttempt(gateway, exchange.m_attempt->m_replica, isServerError, false, latency);
     exchange.m_attempts.m_ran += 1;
     releaseReplica(gateway, exchange);
     RetryBudget &budget = gateway.m_retryBudgets[exchange.m_service];
@@ -292,7 +291,7 @@
     const auto budgetLeft = [&] { return takeRetry(budget, gateway.m_settings, memberCount(gateway.m_membership, now), now); };
     if (isServerError && decideNextStep(exchange.m_attempts, AttemptEnd::Failed, now, budgetLeft) == NextStep::Retry) {
         countReason(gateway.m_retries, Reason::UpstreamError);
-        exchange.m_tried.insert(exchange.m_replica);
+        exchange.m_tried.insert(exchange.m_attempt->m_replica);
         startAttempt(gateway, exchange);
         return;
     }
@@ -341,9 +340,9 @@
         handleReplicaFailure(gateway, exchange, reader);
         return;
     }
-    exchange.m_attemptBegan = true;
+    exchange.m_attempt->m_began = true;
     clearParts(gateway, sharedPartIds(exchange.m_parts));
-    recordAttempt(gateway, exchange.m_replica, false, false, gatewayNow(gateway) - exchange.m_attemptStartedAt);
+    recordAttempt(gateway, exchange.m_attempt->m_replica, false, false, gatewayNow(gateway) - exchange.m_attempt->m_startedAt);
     releaseReplica(gateway, exchange);
     relayAnswer(gateway, exchange, reader);
 }
@@ -357,7 +356,7 @@
 void handleAttemptEnd(Gateway &gateway, Exchange &exchange, AttemptEnd end, Reason reason)
 {
     const bool leaving = reason == Reason::UpstreamLeaving;
-    recordAttempt(gateway, exchange.m_replica, true, end != AttemptEnd::Rejected || leaving, Duration(0));
+    recordAttempt(gateway, exchange.m_attempt->m_replica, true, end != AttemptEnd::Rejected || leaving, Duration(0));
     const bool mayHaveRun = end == AttemptEnd::Lost || end == AttemptEnd::Broken;
     exchange.m_attempts.m_ran += mayHaveRun ? 1 : 0;
     const bool arrived = exchange.m_attempts.m_sent > 0 && end != AttemptEnd::NotSent;
@@ -370,7 +369,7 @@
              "attempt",
              "Attempt failed.",
              {{"id", exchange.m_attemptId},
-              {"replica", exchange.m_replica},
+              {"replica", exchange.m_attempt->m_replica},
               {"reason", std::string(toString(reason))},
               {"sent", fmt::format("{}", exchange.m_attempts.m_sent)},
               {"ran", fmt::format("{}", exchange.m_attempts.m_ran)},
@@ -378,7 +377,7 @@
     switch (step) {
     case NextStep::Retry:
         countReason(gateway.m_retries, reason);
-        exchange.m_tried.insert(exchange.m_replica);
+        exchange.m_tried.insert(exchange.m_attempt->m_replica);
         startAttempt(gateway, exchange);
         return;
     case NextStep::RefuseNotRun:
@@ -404,8 +403,7 @@
     if (!isSuccessWithSeal(reader) || !forwardEvents(gateway, *exchange, reader)) {
         return;
     }
-    if (exchange->m_partialEvent.size() > MaxEventBytes) {
-        exchange->m_partialEvent = std::string();
+    if (exchange->m_attempt->m_partialEvent.size() > MaxEventBytes) {
         exchange->m_attempts.m_sent += 1;
         cancelCall(gateway, call.m_number);
         handleAttemptEnd(gateway, *exchange, exchange->m_streaming ? AttemptEnd::Broken : AttemptEnd::Lost, Reason::InvalidAnswer);
@@ -421,7 +419,7 @@
     HttpReader &reader = answerReader(call);
     const bool hasHead = reader.m_state == ParseState::Body || reader.m_state == ParseState::Done;
     exchange->m_attempts.m_sent += call.m_sent ? 1 : 0;
-    if (end == CallEnd::Lost && !exchange->m_attemptBegan) {
+    if (end == CallEnd::Lost && !exchange->m_attempt->m_began) {
         suspectCrash(gateway, *exchange);
     }
     if (exchange->m_route->m_kind == RequestKind::Streaming && hasHead && isSuccessWithSeal(reader)) {
@@ -448,10 +446,10 @@
         return;
     }
     const uint64_t number = exchange.m_number;
-    const uint64_t call = exchange.m_call;
-    exchange.m_attemptTimer.start(gateway.m_loop, ExpectedFetchTime, [&gateway, number, call] {
+    const uint64_t call = exchange.m_attempt->m_call;
+    exchange.m_attempt->m_timer.start(gateway.m_loop, ExpectedFetchTime, [&gateway, number, call] {
         Exchange *open = findExchange(gateway, number);
-        if (open != nullptr && open->m_call == call) {
+        if (open != nullptr && open->m_attempt->m_call == call) {
             markResultsEvictable(gateway, *open);
         }
     });
@@ -465,18 +463,18 @@
     if (!mayRetry) {
         return;
     }
-    const Upstream &upstream = gateway.m_upstreams.at(exchange.m_replica);
+    const Upstream &upstream = gateway.m_upstreams.at(exchange.m_attempt->m_replica);
     const Duration averageLatency(static_cast<int64_t>(upstream.m_latency * 1e6));
     const Duration half = (exchange.m_deadline - gatewayNow(gateway)) / 2;
     const Duration limit = std::min(half, std::max(MinAttemptTimeout, averageLatency * AttemptTimeoutFactor));
     const uint64_t number = exchange.m_number;
-    exchange.m_attemptTimer.start(gateway.m_loop, limit, [&gateway, number] {
+    exchange.m_attempt->m_timer.start(gateway.m_loop, limit, [&gateway, number] {
         Exchange *expired = findExchange(gateway, number);
-        if (expired == nullptr || expired->m_call == 0) {
+        if (expired == nullptr || expired->m_attempt->m_call == 0) {
             return;
         }
         expired->m_attempts.m_sent += 1;
-        cancelCall(gateway, expired->m_call);
+        cancelCall(gateway, expired->m_attempt->m_call);
         handleAttemptEnd(gateway, *expired, AttemptEnd::Lost, Reason::AttemptTimeout);
     });
 }
@@ -500,7 +498,6 @@
         failExchange(gateway, exchange, HTTP_STATUS_UNAUTHORIZED, Reason::UnknownKey);
         return;
     }
-    exchange.m_attemptBegan = false;
     if (rejectRefusedParts(gateway, exchange)) {
         return;
     }
@@ -516,12 +513,13 @@
         }
         return;
     }
-    exchange.m_replica = *replica;
-    exchange.m_attemptStartedAt = gatewayNow(gateway);
+    exchange.m_attempt = std::make_unique<Attempt>();
+    exchange.m_attempt->m_replica = *replica;
+    exchange.m_attempt->m_startedAt = gatewayNow(gateway);
     Upstream &upstream = gateway.m_upstreams.at(*replica);
     upstream.m_running += 1;
     upstream.m_pendingTokens += promptTokens(exchange);
-    exchange.m_countsTokens = true;
+    exchange.m_attempt->m_countsTokens = true;
     UpstreamCall call;
     call.m_text = formatAttempt(gateway, exchange, *replica);
     call.m_attemptId = exchange.m_attemptId;
@@ -529,7 +527,7 @@
     call.m_onProgress = [&gateway, number](UpstreamCall &progress) { handleProgress(gateway, number, progress); };
     call.m_onEnd = [&gateway, number](UpstreamCall &ended, CallEnd end) { handleCallEnd(gateway, number, ended, end); };
     const bool retryable = exchange.m_attempts.m_kind == RequestKind::Idempotent || exchange.m_attempts.m_resumable;
-    exchange.m_call =
+    exchange.m_attempt->m_call =
         startCall(gateway, *replica, std::move(call), retryable ? ConnectionUse::Pooled : ConnectionUse::RecentlyUsed)->m_number;
     startAttemptTimeout(gateway, exchange);
     markEvictableAfterFetch(gateway, exchange);
@@ -581,8 +579,8 @@
 
 void stopAttempt(Gateway &gateway, Exchange &exchange)
 {
-    if (exchange.m_call != 0) {
-        const uint64_t call = exchange.m_call;
+    if (exchange.m_attempt->m_call != 0) {
+        const uint64_t call = exchange.m_attempt->m_call;
         releaseReplica(gateway, exchange);
         cancelCall(gateway, call);
     }
--- a/src/gateway_crashes.cpp
+++ b/src/gateway_crashes.cpp
@@ -61,7 +61,7 @@
 {
     std::vector<uint64_t> affected;
     for (const auto &[number, exchange] : gateway.m_exchanges) {
-        if (!exchange->m_attemptBegan && hasPart(*exchange, part)) {
+        if (!exchange->m_attempt->m_began && hasPart(*exchange, part)) {
             affected.push_back(number);
         }
     }
@@ -179,12 +179,12 @@
 
 void suspectCrash(Gateway &gateway, const Exchange &exchange)
 {
-    const auto upstream = gateway.m_upstreams.find(exchange.m_replica);
+    const auto upstream = gateway.m_upstreams.find(exchange.m_attempt->m_replica);
     const std::vector<uint64_t> parts = sharedPartIds(exchange.m_parts);
     if (upstream == gateway.m_upstreams.end() || parts.empty()) {
         return;
     }
-    const std::string incarnation = fmt::format("{}@{}", exchange.m_replica, upstream->second.m_record.m_incarnationStart);
+    const std::string incarnation = fmt::format("{}@{}", exchange.m_attempt->m_replica, upstream->second.m_record.m_incarnationStart);
     std::vector<uint64_t> &suspects = gateway.m_suspects[incarnation];
     const bool isProbed = !suspects.empty();
     suspects.insert(suspects.end(), parts.begin(), parts.end());
@@ -229,7 +229,7 @@
     if (std::none_of(parts.begin(), parts.end(), [&gateway](uint64_t part) { return isRefused(gateway, part); })) {
         return false;
     }
-    const bool mayHaveRun = exchange.m_attempts.m_ran > 0 || exchange.m_call != 0;
+    const bool mayHaveRun = exchange.m_attempts.m_ran > 0 || exchange.m_attempt->m_call != 0;
     if (mayHaveRun) {
         failExchange(gateway, exchange, HTTP_STATUS_BAD_GATEWAY, Reason::CrashGuard);
     } else {
--- a/src/gateway_internal.h
+++ b/src/gateway_internal.h
@@ -150,6 +150,17 @@
 // [SECTION] Requests
 //-----------------------------------------------------------------------------
 
+/** State of one attempt at one replica. Replaced as a whole by the next attempt, so that nothing of it outlives it. */
+struct Attempt {
+    std::string m_replica; ///< id; empty before the first attempt
+    uint64_t m_call = 0; ///< number of the open upstream call; 0: none
+    TimePoint m_startedAt;
+    NetTimer m_timer;
+    bool m_began = false; ///< the replica has begun to answer: an event or a whole answer was received
+    bool m_countsTokens = false; ///< the prompt is included in the replica's m_pendingTokens
+    std::string m_partialEvent; ///< bytes of an incomplete event
+};
+
 /** A caller's request, from the arrival of its last byte until it has been answered. */
 struct Exchange {
     uint64_t m_number = 0;
@@ -176,19 +187,13 @@
     int m_planRestarts = 0;
 
     std::vector<PromptPart> m_parts;
-    AttemptState m_attempts;
+    AttemptState m_attempts; ///< what all attempts add up to
     std::set<std::string> m_tried; ///< ids of replicas with a failed attempt
-    std::string m_replica; ///< id of the replica of the latest attempt
-    uint64_t m_call = 0; ///< number of the open upstream call; 0: none
-    TimePoint m_attemptStartedAt;
-    NetTimer m_attemptTimer;
-    bool m_attemptBegan = false; ///< the replica of the latest attempt has begun to answer: an event or a whole answer was received
-    bool m_countsTokens = false; ///< the prompt is included in the replica's m_pendingTokens
+    std::unique_ptr<Attempt> m_attempt = std::make_unique<Attempt>(); ///< the latest attempt
 
     bool m_streaming = false; ///< events have been sent to the caller
     int64_t m_lastEvent = 0; ///< id of the last event sent to the caller
     bool m_hasLastEvent = false;
-    std::string m_partialEvent; ///< bytes of an incomplete event
 };
 
 void handleRequest(Gateway &gateway, CallerConnection &caller);
--- a/src/gateway_requests.cpp
+++ b/src/gateway_requests.cpp
@@ -63,7 +63,7 @@
               {"reason", std::string(toString(reason))},
               {"age_ms", fmt::format("{}", age.count() / 1000)},
               {"sent", fmt::format("{}", exchange.m_attempts.m_sent)},
-              {"replica", exchange.m_replica},
+              {"replica", exchange.m_attempt->m_replica},
               {"stages", describePlan(exchange)},
               {"restarts", fmt::format("{}", exchange.m_planRestarts)}});
 }
@@ -125,7 +125,7 @@
 {
     if (exchange.m_streaming) {
         abortExchange(gateway, exchange, Reason::DeadlineExceeded);
-    } else if (exchange.m_attempts.m_ran == 0 && exchange.m_call == 0) {
+    } else if (exchange.m_attempts.m_ran == 0 && exchange.m_attempt->m_call == 0) {
         refuseExchange(gateway, exchange, Reason::DeadlineExceeded);
     } else {
         failExchange(gateway, exchange, HTTP_STATUS_GATEWAY_TIMEOUT, Reason::DeadlineExceeded);
--- a/src/gateway_run.cpp
+++ b/src/gateway_run.cpp
@@ -153,7 +153,7 @@
 {
     std::vector<uint64_t> open;
     for (const auto &[number, exchange] : gateway.m_exchanges) {
-        if (everything || exchange->m_call == 0) {
+        if (everything || exchange->m_attempt->m_call == 0) {
             open.push_back(number);
         }
     }
@@ -162,7 +162,7 @@
         if (exchange == nullptr) {
             continue;
         }
-        if (exchange->m_call == 0 && exchange->m_attempts.m_ran == 0) {
+        if (exchange->m_attempt->m_call == 0 && exchange->m_attempts.m_ran == 0) {
             refuseExchange(gateway, *exchange, Reason::Draining);
         } else {
             failExchange(gateway, *exchange, HTTP_STATUS_BAD_GATEWAY, Reason::ShutdownLimit);
--- a/tests/test_gateway_faults.cpp
+++ b/tests/test_gateway_faults.cpp
@@ -33,6 +33,7 @@
     CPPUNIT_TEST(missingStageResultsAreRetriedWithinTheBudget);
     CPPUNIT_TEST(failsAnswerThatStopsInItsHead);
     CPPUNIT_TEST(abortsUnframedStreamThatEndsInsideAnEvent);
+    CPPUNIT_TEST(dropsHalfAnEventWithItsAttempt);
     CPPUNIT_TEST(replicaThatReportsLeavingGetsNoMoreRequests);
     CPPUNIT_TEST(replicaThatAskedForAPauseGetsNoRequests);
     CPPUNIT_TEST(stageReplicaThatAskedForAPauseGetsNoCalls);
@@ -586,6 +587,61 @@
         CPPUNIT_ASSERT_EQUAL(size_t(1), replica.m_requests.size());
     }
 
+    /** How an attempt ends after half an event: bytes that follow it, and what happens to the connection then. */
+    struct HalfEventEnd {
+        std::string m_bytes;
+        enum { Stays, Ends, Resets } m_connection = Stays;
+    };
+
+    static void endAttempt(const std::shared_ptr<ReceivedRequest> &request, const HalfEventEnd &end)
+    {
+        reply(request, end.m_bytes);
+        if (end.m_connection == HalfEventEnd::Ends) {
+            request->m_net->closeAfterWrites();
+        } else if (end.m_connection == HalfEventEnd::Resets) {
+            request->m_net->resetConnection();
+        }
+    }
+
+    // Guards against half an event of a broken attempt in front of the events of the attempt that resumes the stream.
+    void dropsHalfAnEventWithItsAttempt()
+    {
+        const HalfEventEnd ends[] = {
+            {"no chunk\r\n"},
+            {"HTTP/1.1 200 OK\r\n\r\n"},
+            {std::string(LastChunk)},
+            {std::string(LastChunk) + "surplus"},
+            {formatChunk(std::string(300 * 1024, 'x'))},
+            {"", HalfEventEnd::Ends},
+            {"", HalfEventEnd::Resets},
+            {"40\r\nid: 2", HalfEventEnd::Ends},
+        };
+        for (const bool isRejectedBetween : {false, true}) {
+            for (size_t form = 0; form < std::size(ends); ++form) {
+                GatewayHarness harness;
+                FakeServer replica;
+                NetTimer pause;
+                replica.start(harness.m_loop, [&](FakeServer &server, const std::shared_ptr<ReceivedRequest> &request) {
+                    const HttpHeaders headers = replicaHeaders(request);
+                    if (server.m_requests.size() == 1) {
+                        reply(request, formatChunkedHead(200, headers, true) + formatChunk(event(1) + "id: 2\ndata: lost "));
+                        pause.start(harness.m_loop, milliseconds(50), [&ends, form, request] { endAttempt(request, ends[form]); });
+                    } else if (isRejectedBetween && server.m_requests.size() == 2) {
+                        HttpHeaders rejected = headers;
+                        rejected.push_back({"X-Not-Executed", "1"});
+                        reply(request, formatAnswer(503, rejected, "id: 2\ndata: rejected ", true));
+                    } else {
+                        reply(request, formatChunkedHead(200, headers, true) + formatChunk(event(2)) + std::string(LastChunk));
+                    }
+                });
+                const GatewayHarness::Process &gateway = startServing(harness, {{"i-1", "model", &replica}});
+                const Caller &caller = ask(harness, gateway, "POST", "/stream/1", "a1");
+                const std::string what = fmt::format("form {}, rejected between: {}", form, isRejectedBetween);
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(what, event(1) + event(2), caller.m_reader.m_body);
+            }
+        }
+    }
+
     // Guards against a stream without length or chunks that ends inside an event and passes for complete.
     void abortsUnframedStreamThatEndsInsideAnEvent()
     {
