--- a/src/gateway_internal.h
+++ b/src/gateway_internal.h
@@ -290,7 +290,22 @@
 // [SECTION] Peers
 //-----------------------------------------------------------------------------
 
-enum class PeerKind : uint8_t { Hello, Submit, Cancel, Release, Evictable, Result, InputsRead, Ping, Pong, Crash, Cleared, Refused, Count };
+enum class PeerKind : uint8_t {
+    Hello,
+    Submit,
+    Cancel,
+    Release,
+    Evictable,
+    Result,
+    InputsRead,
+    Ping,
+    Pong,
+    Crash,
+    Cleared,
+    Refused,
+    Revision,
+    Count
+};
 
 /** One message between gateways. Fields that a kind doesn't use stay empty. */
 struct PeerMessage {
@@ -313,6 +328,7 @@
     uint8_t m_reason = 0;
     std::vector<uint64_t> m_parts; ///< crash, cleared and refused: ids of prompt parts
     std::vector<uint64_t> m_completedParts; ///< crash: those of m_parts that replicas have answered before
+    int64_t m_revision = 0; ///< revision: the newest revision of the key-value store that the sender has seen
 
     template<typename Archive>
     void serialize(Archive &archive)
@@ -335,7 +351,8 @@
                 m_failureDomain,
                 m_reason,
                 m_parts,
-                m_completedParts);
+                m_completedParts,
+                m_revision);
     }
 };
 
@@ -379,32 +396,38 @@
 
 enum class StoreRange : uint8_t { Configuration, Members, Registrations };
 
+/** The keys that gateways read, in the order in which they are listed. */
+constexpr std::array<StoreRange, 3> StoreRanges = {StoreRange::Configuration, StoreRange::Registrations, StoreRange::Members};
+
 /**
- * A listing of the keys under one prefix and the watch that follows it. Replicas renew their registrations all the time,
- * so that a watch on all keys would end with each renewal; keys that seldom change have watches of their own.
+ * The listings of all ranges and the watch that follows them. There is one watch on all keys, so that its revision can be compared
+ * with what other gateways have seen: it tells whether a watch misses changes although it seems to wait.
  */
 struct StoreWatch {
-    StoreRange m_range = StoreRange::Configuration;
-    std::string m_prefix;
-    Duration m_pause{}; ///< between the end of a call and the next one
-    Duration m_wait{}; ///< how long the store may keep a call waiting
-    bool m_listed = false; ///< the watch follows a full listing; not while it is read again
-    bool m_isParked = false; ///< its last call failed; it goes on when another call to the store has succeeded
+    Duration m_interval{}; ///< mean time between answers with events is at least this, except after a quiet time
+    bool m_isListed = false; ///< the watch follows full listings; not while they are read again
+    bool m_wasListed = false; ///< full listings have been read since the start of the process
+    bool m_isParked = false; ///< the last call failed; goes on when another call to the store has succeeded
     bool m_isCurrent = false; ///< nothing calls for a confirmation, see noticePause()
-    bool m_wasListed = false; ///< a full listing has been read since the start of the process
     bool m_isInterrupted = false; ///< a call has failed since the last answer
+    bool m_isProven = false; ///< the last call was answered without events, so that the next one may wait for long
     int64_t m_revision = 0; ///< the watch continues after this revision
-    TimePoint m_answeredAt; ///< last answer of the store to this watch or its listing
+    TimePoint m_answeredAt; ///< last answer of the store to the watch or its listings
+    TimePoint m_nextEventsAt; ///< no call before, so that m_interval is kept
+    size_t m_listing = 0; ///< index in StoreRanges of the listing that is read
     std::vector<Platform::StoreItem> m_page; ///< items of an incomplete listing
-    int64_t m_listRevision = 0; ///< revision of the first page of the listing
+    int64_t m_listRevision = 0; ///< revision of the first page of the first listing
+    int64_t m_toldRevision = 0; ///< newest revision that other gateways were told of
+    TimePoint m_toldAt;
     NetTimer m_timer;
+    NetTimer m_behindTimer; ///< until a revision that another gateway has seen must have arrived
     StoreConnection *m_connection = nullptr;
 };
 
 /** State of the connection to the key-value store. */
 struct StoreClient {
     SocketAddress m_address;
-    std::list<StoreWatch> m_watches; ///< one for each StoreRange
+    StoreWatch m_watch;
     bool m_available = false; ///< the last call succeeded
     int m_failures = 0; ///< consecutive
     bool m_hasLostAnswer = false; ///< a call got no answer since the store was last available
@@ -416,10 +439,12 @@
 };
 
 void startStore(Gateway &gateway);
-/** Time since the store last answered the watch on @p range or its listing: the age of what is known from it. */
-Duration watchAge(const Gateway &gateway, StoreRange range);
-/** Name of @p range in logs and metrics. */
-std::string_view toString(StoreRange range);
+/** Time since the store last answered the watch or its listings: the age of what is known from it. */
+Duration watchAge(const Gateway &gateway);
+/** Tells some other gateways the newest revision that the watch has seen, if there is a new one. */
+void gossipRevision(Gateway &gateway);
+/** Another gateway has seen @p revision: starts the watch again unless it gets there soon. */
+void handleRevision(Gateway &gateway, int64_t revision);
 /** Reads the changes of configuration, members and registrations at once, and holds new requests until the store has answered. */
 void refreshStore(Gateway &gateway);
 /** Whether configuration, members and registrations have each been listed since the start. */
--- a/src/gateway_peers.cpp
+++ b/src/gateway_peers.cpp
@@ -177,6 +177,9 @@
     case PeerKind::Refused:
         handleCrashMessage(gateway, message);
         return;
+    case PeerKind::Revision:
+        handleRevision(gateway, message.m_revision);
+        return;
     case PeerKind::Pong:
     case PeerKind::Count:
         return;
--- a/src/gateway_run.cpp
+++ b/src/gateway_run.cpp
@@ -67,14 +67,14 @@
     addGauge(registry, "medlarramp_replicas", "Replicas in the registry", static_cast<double>(gateway.m_registry.m_replicas.size()));
     const double version = gateway.m_configuration ? static_cast<double>(gateway.m_configuration->m_version) : 0;
     addGauge(registry, "medlarramp_configuration_version", "Version of the applied configuration", version);
-    auto &ages = prometheus::BuildGauge()
-                     .Name("medlarramp_store_age_seconds")
-                     .Help("Time since the key-value store last answered, by range of keys; grows while a watch waits")
-                     .Register(registry);
-    for (const StoreWatch &watch : gateway.m_store.m_watches) {
-        const Duration age = watchAge(gateway, watch.m_range);
-        ages.Add({{"range", std::string(toString(watch.m_range))}}).Set(std::chrono::duration<double>(age).count());
-    }
+    addGauge(registry,
+             "medlarramp_store_age_seconds",
+             "Time since the key-value store last answered the watch; grows while the watch waits",
+             std::chrono::duration<double>(watchAge(gateway)).count());
+    addGauge(registry,
+             "medlarramp_store_revision",
+             "Newest revision of the key-value store that is known",
+             static_cast<double>(gateway.m_store.m_watch.m_revision));
     auto &waiting = prometheus::BuildGauge().Name("medlarramp_queued_tasks").Help("Stage tasks in owned queues").Register(registry);
     for (const auto &[service, owned] : gateway.m_queues) {
         waiting.Add({{"service", service}}).Set(static_cast<double>(owned->m_queue.m_tasks.size()));
@@ -203,6 +203,7 @@
     gateway.m_lastTickAt = gatewayNow(gateway);
     checkPeers(gateway);
     gossipRefusals(gateway);
+    gossipRevision(gateway);
     closeIdleUpstreams(gateway);
     if (gateway.m_draining) {
         continueDrain(gateway);
--- a/src/gateway_store.cpp
+++ b/src/gateway_store.cpp
@@ -26,15 +26,22 @@
 namespace {
 
 constexpr Duration CallTimeout = milliseconds(2000); ///< the store usually answers within milliseconds
-constexpr Duration WatchTimeoutMargin = seconds(2); ///< added to the wait of a watch for the timeout of its call
-/** Wait of the watches on keys that seldom change; long, as each call is billed. */
-constexpr Duration QuietWatchWait = seconds(25);
-/** Wait of the watch on registrations; shorter, as a replica that leaves must be noticed even if a call hangs. */
-constexpr Duration RegistrationWatchWait = seconds(15);
-constexpr Duration ConfigurationWatchPause = milliseconds(100); ///< between calls; changes within this pause share one call
-constexpr Duration MembersWatchPause = milliseconds(1000); ///< as above; many gateways may join at once
-constexpr Duration MinRegistrationWatchPause = milliseconds(500);
-constexpr Duration MaxRegistrationWatchPause = milliseconds(1000);
+/**
+ * Wait of a watch call that follows an interruption or an answer with events. A call that is lost with the disruption that caused
+ * them is noticed after this time and ShortWatchMargin.
+ */
+constexpr Duration ShortWatchWait = milliseconds(1000);
+constexpr Duration ShortWatchMargin = milliseconds(750); ///< added to the wait for the timeout of the call
+constexpr Duration LongWatchWait = seconds(15); ///< of calls on a proven watch, as each call is billed
+constexpr Duration LongWatchMargin = seconds(2);
+constexpr Duration MinWatchPause = milliseconds(100); ///< after an answer with events
+constexpr Duration MinWatchInterval = milliseconds(500); ///< least setting of StoreWatch::m_pause
+constexpr Duration MaxWatchInterval = milliseconds(1000);
+constexpr size_t Sentinels = 2; ///< gateways whose watch never waits for long
+constexpr size_t RevisionFanout = 2; ///< gateways that are told of new revisions, always the same ones
+constexpr Duration MinRevisionInterval = milliseconds(500); ///< between two messages with revisions
+/** Time for a revision that another gateway has seen to arrive here, beyond the pause of the watch. */
+constexpr Duration RevisionSlack = milliseconds(100);
 /** The pause is this part of GatewaySettings::m_leavingTime; the rest is for the call and for requests on their way. */
 constexpr int64_t LeavingTimeDivisor = 4;
 /** Renewals answer within milliseconds and tell when the store is out of reach or back, so they are given up earlier. */
@@ -54,9 +61,9 @@
 
 constexpr std::string_view WatchCall = "watch"; ///< name of the call in the log
 
-void startListing(Gateway &gateway, StoreWatch &watch);
-void readPage(Gateway &gateway, StoreWatch &watch, const std::string &after);
-void callWatch(Gateway &gateway, StoreWatch &watch);
+void startListing(Gateway &gateway);
+void readPage(Gateway &gateway, const std::string &after);
+void callWatch(Gateway &gateway);
 void renewLease(Gateway &gateway);
 
 //-----------------------------------------------------------------------------
@@ -144,14 +151,15 @@
 }
 
 /** Lists or watches again after a failed call. */
-void resumeWatch(Gateway &gateway, StoreWatch &watch)
+void resumeWatch(Gateway &gateway)
 {
+    StoreWatch &watch = gateway.m_store.m_watch;
     watch.m_isParked = false;
     watch.m_timer.stop();
-    if (watch.m_listed) {
-        callWatch(gateway, watch);
+    if (watch.m_isListed) {
+        callWatch(gateway);
     } else {
-        startListing(gateway, watch);
+        startListing(gateway);
     }
 }
 
@@ -159,28 +167,38 @@
  * Retries a listing or watch after a failed call: soon after the first failure, as a call may be cut at any time. After
  * that, the renewal of the lease, which costs a tenth of other calls, finds out when the store is available again.
  */
-void parkWatch(Gateway &gateway, StoreWatch &watch)
+void parkWatch(Gateway &gateway)
 {
+    StoreWatch &watch = gateway.m_store.m_watch;
     watch.m_isParked = true;
     watch.m_isInterrupted = true;
+    watch.m_isProven = false;
     const bool isProbed = gateway.m_store.m_lease != 0 && !gateway.m_draining && gateway.m_store.m_failures > 1;
     const Duration delay = isProbed ? MaxParkedTime : retryDelay(gateway);
-    watch.m_timer.start(gateway.m_loop, delay, [&gateway, &watch] { resumeWatch(gateway, watch); });
+    watch.m_timer.start(gateway.m_loop, delay, [&gateway] { resumeWatch(gateway); });
+}
+
+/** Ends an open call and starts the watch or its listings again. */
+void restartWatch(Gateway &gateway)
+{
+    StoreWatch &watch = gateway.m_store.m_watch;
+    dropStoreCall(*watch.m_connection);
+    watch.m_isInterrupted = true;
+    watch.m_isProven = false;
+    resumeWatch(gateway);
 }
 
 /**
- * Resumes the watches whose calls have failed. Open calls start again if an answer of the store was lost, as a connection
+ * Resumes the watch if its call has failed. An open call starts again if an answer of the store was lost, as a connection
  * returns nothing more after a lost answer.
  */
-void resumeWatches(Gateway &gateway, bool hasLostAnswer)
-{
-    for (StoreWatch &watch : gateway.m_store.m_watches) {
-        if (watch.m_isParked) {
-            resumeWatch(gateway, watch);
-        } else if (watch.m_connection->m_busy && hasLostAnswer) {
-            dropStoreCall(*watch.m_connection);
-            resumeWatch(gateway, watch);
-        }
+void resumeAfterOutage(Gateway &gateway, bool hasLostAnswer)
+{
+    const StoreWatch &watch = gateway.m_store.m_watch;
+    if (watch.m_isParked) {
+        resumeWatch(gateway);
+    } else if (watch.m_connection->m_busy && hasLostAnswer) {
+        restartWatch(gateway);
     }
 }
 
@@ -201,7 +219,7 @@
     store.m_failures = 0;
     const bool hasLostAnswer = std::exchange(store.m_hasLostAnswer, false);
     if (recovered) {
-        resumeWatches(gateway, hasLostAnswer);
+        resumeAfterOutage(gateway, hasLostAnswer);
     }
 }
 
@@ -222,16 +240,16 @@
     store.m_failures += 1;
 }
 
-/** Records an answer to a watch or its listing. */
-void recordWatchAnswer(Gateway &gateway, StoreWatch &watch)
+/** Records an answer to the watch or a listing. */
+void recordWatchAnswer(Gateway &gateway)
 {
+    StoreWatch &watch = gateway.m_store.m_watch;
     const TimePoint now = gatewayNow(gateway);
     if (std::exchange(watch.m_isInterrupted, false)) {
         writeLog(LogLevel::Info,
                  "store",
                  "Watch continues after an interruption.",
-                 {{"range", std::string(toString(watch.m_range))},
-                  {"silent_ms", fmt::format("{}", (now - watch.m_answeredAt).count() / 1000)},
+                 {{"silent_ms", fmt::format("{}", (now - watch.m_answeredAt).count() / 1000)},
                   {"revision", fmt::format("{}", watch.m_revision)}});
     }
     watch.m_answeredAt = now;
@@ -336,7 +354,7 @@
     }
     const std::optional<TimePoint> next = expireReplicas(gateway.m_registry, now);
     for (const std::string &id : expiring) {
-        logReplicaChange(gateway, id, "missing", 0, watchAge(gateway, StoreRange::Registrations));
+        logReplicaChange(gateway, id, "missing", 0, watchAge(gateway));
     }
     syncUpstreams(gateway);
     if (next) {
@@ -380,16 +398,29 @@
     }
 }
 
-/** Replaces the registrations or members by a complete listing, or applies the configuration, and starts the watch. */
-void applyListing(Gateway &gateway, StoreWatch &watch)
+void applyRegistrationListing(Gateway &gateway, const std::vector<Platform::StoreItem> &items)
 {
-    StoreClient &store = gateway.m_store;
-    const std::vector<Platform::StoreItem> items = std::exchange(watch.m_page, {});
-    watch.m_listed = true;
-    watch.m_isCurrent = true;
-    watch.m_wasListed = true;
-    watch.m_revision = watch.m_listRevision;
-    switch (watch.m_range) {
+    std::vector<ReplicaRecord> records;
+    for (const Platform::StoreItem &item : items) {
+        if (std::optional<ReplicaRecord> record = readRecord(item)) {
+            records.push_back(std::move(*record));
+        }
+    }
+    std::map<std::string, std::string_view> states = describeReplicas(gateway.m_registry);
+    replaceReplicas(gateway.m_registry, std::move(records), gatewayNow(gateway));
+    for (const auto &[id, replica] : gateway.m_registry.m_replicas) {
+        states.emplace(id, "unknown");
+    }
+    for (const auto &[id, before] : states) {
+        logReplicaChange(gateway, id, before, gateway.m_store.m_watch.m_listRevision, watchAge(gateway));
+    }
+    expireRegistrations(gateway);
+}
+
+/** Replaces the registrations or members by a complete listing, or applies the configuration. */
+void applyListing(Gateway &gateway, StoreRange range, const std::vector<Platform::StoreItem> &items)
+{
+    switch (range) {
     case StoreRange::Configuration:
         for (const Platform::StoreItem &item : items) {
             if (item.m_key == Platform::ConfigurationKey) {
@@ -397,139 +428,194 @@
                 syncUpstreams(gateway);
             }
         }
-        break;
+        return;
     case StoreRange::Members:
-        store.m_members.clear();
+        gateway.m_store.m_members.clear();
         for (const Platform::StoreItem &item : items) {
             applyMember(gateway, item);
         }
         applyMembers(gateway);
-        break;
-    case StoreRange::Registrations: {
-        std::vector<ReplicaRecord> records;
-        for (const Platform::StoreItem &item : items) {
-            if (std::optional<ReplicaRecord> record = readRecord(item)) {
-                records.push_back(std::move(*record));
-            }
-        }
-        std::map<std::string, std::string_view> states = describeReplicas(gateway.m_registry);
-        replaceReplicas(gateway.m_registry, std::move(records), gatewayNow(gateway));
-        for (const auto &[id, replica] : gateway.m_registry.m_replicas) {
-            states.emplace(id, "unknown");
-        }
-        for (const auto &[id, before] : states) {
-            logReplicaChange(gateway, id, before, watch.m_revision, watchAge(gateway, watch.m_range));
-        }
-        expireRegistrations(gateway);
-        break;
-    }
+        return;
+    case StoreRange::Registrations:
+        applyRegistrationListing(gateway, items);
+        return;
     }
-    callWatch(gateway, watch);
 }
 
 //-----------------------------------------------------------------------------
 // Listing and watching
 //-----------------------------------------------------------------------------
 
-void startListing(Gateway &gateway, StoreWatch &watch)
+std::string_view prefixOf(StoreRange range)
 {
+    switch (range) {
+    case StoreRange::Configuration:
+        return Platform::ConfigurationKey;
+    case StoreRange::Members:
+        return Platform::MemberPrefix;
+    case StoreRange::Registrations:
+        return Platform::RegistrationPrefix;
+    }
+    return "";
+}
+
+/** Continues held requests once what is known has been confirmed. */
+void confirm(Gateway &gateway)
+{
+    gateway.m_store.m_watch.m_isCurrent = true;
+    if (gateway.m_isUnconfirmed) {
+        admitHeldRequests(gateway);
+    }
+}
+
+void startListing(Gateway &gateway)
+{
+    StoreWatch &watch = gateway.m_store.m_watch;
+    watch.m_listing = 0;
     watch.m_page.clear();
     watch.m_listRevision = 0;
-    readPage(gateway, watch, "");
+    readPage(gateway, "");
+}
+
+/** Continues with the next listing, or with the watch after the last one. */
+void finishListing(Gateway &gateway)
+{
+    StoreWatch &watch = gateway.m_store.m_watch;
+    applyListing(gateway, StoreRanges.at(watch.m_listing), std::exchange(watch.m_page, {}));
+    watch.m_listing += 1;
+    if (watch.m_listing < StoreRanges.size()) {
+        readPage(gateway, "");
+        return;
+    }
+    watch.m_isListed = true;
+    watch.m_wasListed = true;
+    watch.m_isProven = false;
+    // Pages and listings may differ in revision, so the watch starts at that of the first page.
+    watch.m_revision = watch.m_listRevision;
+    confirm(gateway);
+    callWatch(gateway);
 }
 
-void retryListing(Gateway &gateway, StoreWatch &watch, int status)
+void handlePage(Gateway &gateway, int status, const std::string &body)
 {
-    recordStoreFailure(gateway, *watch.m_connection, "list", status);
-    parkWatch(gateway, watch);
+    StoreWatch &watch = gateway.m_store.m_watch;
+    absl::StatusOr<Platform::StoreItems> page =
+        status == HTTP_STATUS_OK ? Platform::decodeItems(body) : absl::UnavailableError("no answer");
+    if (!page.ok()) {
+        recordStoreFailure(gateway, *watch.m_connection, "list", status);
+        parkWatch(gateway);
+        return;
+    }
+    recordWatchAnswer(gateway);
+    watch.m_listRevision = watch.m_listRevision == 0 ? page->m_asOf : watch.m_listRevision;
+    const std::string last = page->m_items.empty() ? "" : page->m_items.back().m_key;
+    const bool more = page->m_more && !last.empty();
+    std::move(page->m_items.begin(), page->m_items.end(), std::back_inserter(watch.m_page));
+    if (more) {
+        readPage(gateway, last);
+    } else {
+        finishListing(gateway);
+    }
 }
 
-void readPage(Gateway &gateway, StoreWatch &watch, const std::string &after)
+void readPage(Gateway &gateway, const std::string &after)
 {
-    const std::string target = Platform::formatRangeTarget(watch.m_prefix, after);
-    callStore(gateway, *watch.m_connection, "GET", target, "", CallTimeout, [&gateway, &watch](int status, const std::string &body) {
-        absl::StatusOr<Platform::StoreItems> page =
-            status == HTTP_STATUS_OK ? Platform::decodeItems(body) : absl::UnavailableError("no answer");
-        if (!page.ok()) {
-            retryListing(gateway, watch, status);
-            return;
-        }
-        recordWatchAnswer(gateway, watch);
-        // Pages may differ in revision, so the watch starts at the revision of the first page.
-        watch.m_listRevision = watch.m_listRevision == 0 ? page->m_asOf : watch.m_listRevision;
-        const std::string last = page->m_items.empty() ? "" : page->m_items.back().m_key;
-        const bool more = page->m_more && !last.empty();
-        std::move(page->m_items.begin(), page->m_items.end(), std::back_inserter(watch.m_page));
-        if (more) {
-            readPage(gateway, watch, last);
-        } else {
-            applyListing(gateway, watch);
-        }
+    StoreWatch &watch = gateway.m_store.m_watch;
+    const std::string target = Platform::formatRangeTarget(prefixOf(StoreRanges.at(watch.m_listing)), after);
+    callStore(gateway, *watch.m_connection, "GET", target, "", CallTimeout, [&gateway](int status, const std::string &body) {
+        handlePage(gateway, status, body);
     });
 }
 
-/** Continues held requests once all that is known has been confirmed. */
-void confirm(Gateway &gateway)
+/** Pause after an answer, so that changes in quick succession share a call. */
+Duration pauseBeforeCall(Gateway &gateway, bool wasCurrent)
 {
-    const std::list<StoreWatch> &watches = gateway.m_store.m_watches;
-    const auto isCurrent = [](const StoreWatch &watch) { return watch.m_isCurrent; };
-    if (gateway.m_isUnconfirmed && std::all_of(watches.begin(), watches.end(), isCurrent)) {
-        admitHeldRequests(gateway);
+    StoreWatch &watch = gateway.m_store.m_watch;
+    if (!wasCurrent || watch.m_isProven) {
+        return Duration(0);
     }
+    const TimePoint now = gatewayNow(gateway);
+    watch.m_nextEventsAt = std::max(watch.m_nextEventsAt, now - watch.m_interval) + watch.m_interval;
+    return std::max(MinWatchPause, watch.m_nextEventsAt - now);
 }
 
-void handleWatch(Gateway &gateway, StoreWatch &watch, int status, const std::string &body)
+void handleWatch(Gateway &gateway, int status, const std::string &body)
 {
+    StoreWatch &watch = gateway.m_store.m_watch;
     absl::StatusOr<Platform::StoreItems> events =
         status == HTTP_STATUS_OK ? Platform::decodeItems(body) : absl::UnavailableError("no answer");
     if (events.ok()) {
-        const Duration age = watchAge(gateway, watch.m_range);
-        recordWatchAnswer(gateway, watch);
+        const Duration age = watchAge(gateway);
+        recordWatchAnswer(gateway);
         watch.m_revision = std::max(watch.m_revision, events->m_asOf);
-        const bool wasCurrent = std::exchange(watch.m_isCurrent, true);
+        const bool wasCurrent = watch.m_isCurrent;
+        watch.m_isProven = wasCurrent && events->m_items.empty();
         applyEvents(gateway, *events, age);
         confirm(gateway);
-        const Duration pause = wasCurrent ? watch.m_pause : Duration(0);
-        watch.m_timer.start(gateway.m_loop, pause, [&gateway, &watch] { callWatch(gateway, watch); });
+        watch.m_timer.start(gateway.m_loop, pauseBeforeCall(gateway, wasCurrent), [&gateway] { callWatch(gateway); });
         return;
     }
     if (status == HTTP_STATUS_GONE) {
-        writeLog(LogLevel::Info, "store", "Watch history is no longer available; listing again.", {{"prefix", watch.m_prefix}});
-        watch.m_listed = false;
-        startListing(gateway, watch);
+        writeLog(LogLevel::Info,
+                 "store",
+                 "Watch history is no longer available; listing again.",
+                 {{"revision", fmt::format("{}", watch.m_revision)}});
+        watch.m_isListed = false;
+        startListing(gateway);
         return;
     }
     recordStoreFailure(gateway, *watch.m_connection, WatchCall, status);
-    parkWatch(gateway, watch);
+    parkWatch(gateway);
 }
 
-void callWatch(Gateway &gateway, StoreWatch &watch)
+/** Other members in the order of the hashes of their names, from @p start on. */
+std::vector<std::string> membersFrom(const Gateway &gateway, uint64_t start)
 {
-    const Duration wait = watch.m_isCurrent ? watch.m_wait : ConfirmingWatchWait;
-    const std::string target = Platform::formatWatchTarget(watch.m_prefix, watch.m_revision, wait);
-    callStore(gateway,
-              *watch.m_connection,
-              "GET",
-              target,
-              "",
-              wait + WatchTimeoutMargin,
-              [&gateway, &watch](int status, const std::string &body) { handleWatch(gateway, watch, status, body); });
+    std::vector<std::pair<uint64_t, std::string>> nodes;
+    for (const auto &[node, member] : gateway.m_membership.m_members) {
+        if (node != gateway.m_settings.m_node) {
+            nodes.emplace_back(hash64(node) - start, node);
+        }
+    }
+    std::sort(nodes.begin(), nodes.end());
+    std::vector<std::string> names;
+    names.reserve(nodes.size());
+    for (auto &[hash, node] : nodes) {
+        names.push_back(std::move(node));
+    }
+    return names;
 }
 
-/** Pause of the watch on registrations, so that a replica that leaves gets no work later than the settings allow. */
-Duration registrationWatchPause(const GatewaySettings &settings)
+/** Whether this is one of the few gateways that never wait for long, so that a change is noticed even if all others miss it. */
+bool isSentinel(const Gateway &gateway)
 {
-    return std::clamp(settings.m_leavingTime / LeavingTimeDivisor, MinRegistrationWatchPause, MaxRegistrationWatchPause);
+    const std::vector<std::string> others = membersFrom(gateway, 0);
+    return others.size() < Sentinels || hash64(gateway.m_settings.m_node) < hash64(others[Sentinels - 1]);
 }
 
-void addWatch(Gateway &gateway, StoreRange range, std::string_view prefix, Duration pause, Duration wait)
+void callWatch(Gateway &gateway)
 {
-    StoreWatch &watch = gateway.m_store.m_watches.emplace_back();
-    watch.m_range = range;
-    watch.m_prefix = prefix;
-    watch.m_pause = pause;
-    watch.m_wait = wait;
-    watch.m_connection = new StoreConnection; // never freed: it is used until the process exits
+    StoreWatch &watch = gateway.m_store.m_watch;
+    const bool isLong = watch.m_isCurrent && watch.m_isProven && !isSentinel(gateway);
+    const Duration wait = !watch.m_isCurrent ? ConfirmingWatchWait : isLong ? LongWatchWait : ShortWatchWait;
+    const Duration margin = isLong ? LongWatchMargin : ShortWatchMargin;
+    writeLog(watch.m_isInterrupted ? LogLevel::Info : LogLevel::Debug,
+             "store",
+             "Watch started.",
+             {{"revision", fmt::format("{}", watch.m_revision)},
+              {"connection", watch.m_connection->m_net == nullptr ? "new" : "kept"},
+              {"wait_ms", fmt::format("{}", wait.count() / 1000)}});
+    // All keys have the empty prefix.
+    const std::string target = Platform::formatWatchTarget("", watch.m_revision, wait);
+    callStore(gateway, *watch.m_connection, "GET", target, "", wait + margin, [&gateway](int status, const std::string &body) {
+        handleWatch(gateway, status, body);
+    });
+}
+
+/** Interval of answers with events, so that a replica that leaves gets no work later than the settings allow. */
+Duration watchInterval(const GatewaySettings &settings)
+{
+    return std::clamp(settings.m_leavingTime / LeavingTimeDivisor, MinWatchInterval, MaxWatchInterval);
 }
 
 //-----------------------------------------------------------------------------
@@ -629,40 +715,54 @@
 {
     StoreClient &store = gateway.m_store;
     store.m_leaseConnection = new StoreConnection; // never freed: it is used until the process exits
-    addWatch(gateway, StoreRange::Configuration, Platform::ConfigurationKey, ConfigurationWatchPause, QuietWatchWait);
-    addWatch(gateway, StoreRange::Members, Platform::MemberPrefix, MembersWatchPause, QuietWatchWait);
-    addWatch(gateway,
-             StoreRange::Registrations,
-             Platform::RegistrationPrefix,
-             registrationWatchPause(gateway.m_settings),
-             RegistrationWatchWait);
-    for (StoreWatch &watch : store.m_watches) {
-        startListing(gateway, watch);
-    }
+    store.m_watch.m_connection = new StoreConnection; // never freed: it is used until the process exits
+    store.m_watch.m_interval = watchInterval(gateway.m_settings);
+    startListing(gateway);
     renewLease(gateway);
 }
 
-std::string_view toString(StoreRange range)
+Duration watchAge(const Gateway &gateway)
 {
-    switch (range) {
-    case StoreRange::Configuration:
-        return "configuration";
-    case StoreRange::Members:
-        return "members";
-    case StoreRange::Registrations:
-        return "registrations";
+    return gatewayNow(gateway) - gateway.m_store.m_watch.m_answeredAt;
+}
+
+void gossipRevision(Gateway &gateway)
+{
+    StoreWatch &watch = gateway.m_store.m_watch;
+    const TimePoint now = gatewayNow(gateway);
+    if (watch.m_revision <= watch.m_toldRevision || now - watch.m_toldAt < MinRevisionInterval) {
+        return;
+    }
+    watch.m_toldRevision = watch.m_revision;
+    watch.m_toldAt = now;
+    PeerMessage message;
+    message.m_kind = PeerKind::Revision;
+    message.m_revision = watch.m_revision;
+    const std::vector<std::string> listeners = membersFrom(gateway, hash64(gateway.m_settings.m_node));
+    for (size_t i = 0; i < std::min(RevisionFanout, listeners.size()); ++i) {
+        sendToPeer(gateway, listeners[i], message);
     }
-    return "";
 }
 
-Duration watchAge(const Gateway &gateway, StoreRange range)
+void handleRevision(Gateway &gateway, int64_t revision)
 {
-    for (const StoreWatch &watch : gateway.m_store.m_watches) {
-        if (watch.m_range == range) {
-            return gatewayNow(gateway) - watch.m_answeredAt;
-        }
+    StoreWatch &watch = gateway.m_store.m_watch;
+    if (revision <= watch.m_revision || watch.m_behindTimer.isActive()) {
+        return;
     }
-    return Duration::max();
+    watch.m_behindTimer.start(gateway.m_loop, watch.m_interval + RevisionSlack, [&gateway, revision] {
+        StoreWatch &behind = gateway.m_store.m_watch;
+        if (behind.m_revision >= revision || !behind.m_isListed || behind.m_isParked || !behind.m_connection->m_busy) {
+            return; // up to date, or about to be
+        }
+        writeLog(LogLevel::Warning,
+                 "store",
+                 "Watch misses changes that another gateway has seen; starting it again.",
+                 {{"revision", fmt::format("{}", behind.m_revision)},
+                  {"seen", fmt::format("{}", revision)},
+                  {"silent_ms", fmt::format("{}", watchAge(gateway).count() / 1000)}});
+        restartWatch(gateway);
+    });
 }
 
 void refreshStore(Gateway &gateway)
@@ -672,17 +772,13 @@
         writeLog(LogLevel::Warning, "store", "Key-value store did not confirm what is known; continuing with it.");
         admitHeldRequests(gateway);
     });
-    for (StoreWatch &watch : gateway.m_store.m_watches) {
-        dropStoreCall(*watch.m_connection);
-        watch.m_isCurrent = false;
-        resumeWatch(gateway, watch);
-    }
+    gateway.m_store.m_watch.m_isCurrent = false;
+    restartWatch(gateway);
 }
 
 bool isListed(const Gateway &gateway)
 {
-    return std::all_of(
-        gateway.m_store.m_watches.begin(), gateway.m_store.m_watches.end(), [](const StoreWatch &watch) { return watch.m_wasListed; });
+    return gateway.m_store.m_watch.m_wasListed;
 }
 
 void leaveMembership(Gateway &gateway)
--- a/src/gateway_upstreams.cpp
+++ b/src/gateway_upstreams.cpp
@@ -256,7 +256,7 @@
               {"replica", call.m_replica},
               {"waited_ms", fmt::format("{}", (gatewayNow(gateway) - call.m_startedAt).count() / 1000)},
               {"registration", std::string(describeReplica(gateway.m_registry, call.m_replica))},
-              {"registrations_age_ms", fmt::format("{}", watchAge(gateway, StoreRange::Registrations).count() / 1000)}});
+              {"registrations_age_ms", fmt::format("{}", watchAge(gateway).count() / 1000)}});
 }
 
 UpstreamConnection *openConnection(Gateway &gateway, Upstream &upstream)
--- a/tests/gateway_world.h
+++ b/tests/gateway_world.h
@@ -11,6 +11,7 @@
 #include <fstream>
 #include <list>
 #include <map>
+#include <optional>
 #include <spawn.h>
 #include <string>
 #include <sys/wait.h>
@@ -120,16 +121,24 @@
     return fmt::format("id: {}\ndata: piece {}\n\n", id, id);
 }
 
+/** A watch that waits at the fake store. */
+struct PendingWatch {
+    std::shared_ptr<ReceivedRequest> m_request;
+    int64_t m_after = 0;
+    std::shared_ptr<NetTimer> m_end; ///< answers without events
+};
+
 /** Fake key-value store: listings in one page, watches that wait for changes, leases that never expire. */
 struct FakeStore {
     FakeServer m_server;
     std::map<std::string, std::pair<std::string, int64_t>> m_items; ///< value and revision by key
-    static constexpr int64_t MaxShortWaitMs = 100; ///< watches that wait at most this long are answered at once
     int64_t m_revision = 1;
     bool m_isSilent = false; ///< no call is answered
     bool m_isHistoryGone = false; ///< the next watch is answered with 410
+    bool m_losesWatches = false; ///< watch calls and answers to waiting ones get lost; all other calls are answered
+    std::optional<size_t> m_lostWatch; ///< index of the waiting watch whose answer to the next change gets lost
     std::map<std::string, std::pair<std::string, int64_t>> m_staleItems; ///< if any, what stale listings return
-    std::vector<std::pair<std::shared_ptr<ReceivedRequest>, int64_t>> m_watches;
+    std::vector<PendingWatch> m_watches;
 
     void start(NetLoop &loop)
     {
@@ -140,8 +149,11 @@
     {
         m_items[key] = {value, ++m_revision};
         const auto watches = std::exchange(m_watches, {});
-        for (const auto &[request, after] : watches) {
-            answerWatch(request, after);
+        const std::optional<size_t> lost = std::exchange(m_lostWatch, std::nullopt);
+        for (size_t i = 0; i < watches.size(); ++i) {
+            if (!m_losesWatches && i != lost) {
+                answerWatch(watches[i].m_request, watches[i].m_after);
+            }
         }
     }
 
@@ -191,12 +203,21 @@
     void answerWatch(const std::shared_ptr<ReceivedRequest> &request, int64_t after)
     {
         const nlohmann::json events = itemsAfter(after, parameter(request->m_request.m_target, "prefix"));
-        const bool isWaiting = std::stoll(parameter(request->m_request.m_target, "wait_ms")) > MaxShortWaitMs;
-        if (events.empty() && isWaiting) {
-            m_watches.emplace_back(request, after);
+        if (!events.empty()) {
+            send(request, {{"events", events}, {"as_of", m_revision}});
             return;
         }
-        send(request, {{"events", events}, {"as_of", m_revision}});
+        const int64_t wait = std::stoll(parameter(request->m_request.m_target, "wait_ms"));
+        PendingWatch &watch = m_watches.emplace_back(PendingWatch{request, after, std::make_shared<NetTimer>()});
+        watch.m_end->start(*m_server.m_loop, milliseconds(wait), [this, request] { endWatch(request); });
+    }
+
+    void endWatch(const std::shared_ptr<ReceivedRequest> &request)
+    {
+        std::erase_if(m_watches, [&request](const PendingWatch &watch) { return watch.m_request == request; });
+        if (!m_isSilent && !m_losesWatches) {
+            send(request, {{"events", nlohmann::json::array()}, {"as_of", m_revision}});
+        }
     }
 
     void answer(const std::shared_ptr<ReceivedRequest> &request)
@@ -210,6 +231,8 @@
             send(request, {{"entries", itemsAfter(0, parameter(target, "prefix"), stale)}, {"more_pages", false}, {"as_of", m_revision}});
         } else if (target.find("/-/kv-watch") == 0 && std::exchange(m_isHistoryGone, false)) {
             reply(request, formatAnswer(410, {}, "", true));
+        } else if (target.find("/-/kv-watch") == 0 && m_losesWatches) {
+            return;
         } else if (target.find("/-/kv-watch") == 0) {
             answerWatch(request, std::stoll(parameter(target, "after")));
         } else if (target.find("/-/kv-txn") == 0) {
@@ -257,6 +280,7 @@
             unlink(process.m_settings.c_str());
         }
         m_store.m_server.m_listener.close();
+        m_store.m_watches.clear();
         closeLoop(m_loop);
     }
 
--- a/tests/test_gateway_faults.cpp
+++ b/tests/test_gateway_faults.cpp
@@ -25,8 +25,11 @@
     CPPUNIT_TEST(pausedProcessReadsTheStoreBeforeItActs);
     CPPUNIT_TEST(pausedProcessGoesOnWithoutTheStore);
     CPPUNIT_TEST(answersRequestsReadInPartAtTheEndOfShutdown);
-    CPPUNIT_TEST(registrationsThatOnlyRenewDoNotEndOtherWatches);
+    CPPUNIT_TEST(registrationsThatOnlyRenewDoNotAddCalls);
     CPPUNIT_TEST(watchesGoOnAfterASilentOutage);
+    CPPUNIT_TEST(lostWatchCallsDoNotHideChanges);
+    CPPUNIT_TEST(lostWatchAnswersDoNotHideChanges);
+    CPPUNIT_TEST(gatewaysNoticeChangesThatOneOfThemMisses);
     CPPUNIT_TEST(noticesTheReturnOfTheStoreInTimeForAChange);
     CPPUNIT_TEST(refusesPartThatCrashesReplicas);
     CPPUNIT_TEST(partsThatComeWithACrashingOneAreNotRefused);
@@ -410,7 +413,7 @@
     }
 
     // Guards against calls to the store that grow with the number of replicas, as each renewal ends a watch on all keys.
-    void registrationsThatOnlyRenewDoNotEndOtherWatches()
+    void registrationsThatOnlyRenewDoNotAddCalls()
     {
         GatewayHarness harness;
         FakeServer replica;
@@ -422,10 +425,8 @@
             harness.m_store.putReplica("i-1", "plain", replica.address());
             harness.runFor(milliseconds(100));
         }
-        // Three seconds of renewals: the watch on registrations pauses for 500 ms between calls, the others go on waiting.
-        CPPUNIT_ASSERT(harness.m_store.m_server.requestsFor("/-/kv-watch?prefix=servers/").size() <= 7);
-        CPPUNIT_ASSERT_EQUAL(size_t(0), harness.m_store.m_server.requestsFor("/-/kv-watch?prefix=op").size());
-        CPPUNIT_ASSERT_EQUAL(size_t(0), harness.m_store.m_server.requestsFor("/-/kv-watch?prefix=entries").size());
+        // Three seconds of renewals: the watch pauses for 500 ms between calls.
+        CPPUNIT_ASSERT(harness.m_store.m_server.requestsFor("/-/kv-watch").size() <= 7);
     }
 
     // Guards against a configuration that is not in force after an outage of the store, as a call that waited before the
@@ -482,6 +483,94 @@
         reply(request, formatChunkedHead(200, replicaHeaders(request), true) + formatChunk(event(1)) + std::string(LastChunk));
     }
 
+    /**
+     * Checks that a withdrawn key and a leaving replica are in force in time after watches were lost for a moment, while all
+     * other calls to the store succeeded. @p loseAnswers: of waiting watches, otherwise the calls that follow an answer.
+     */
+    static void checkChangesAfterLostWatches(bool loseAnswers)
+    {
+        constexpr Duration LossTime = milliseconds(700);
+        constexpr Duration ContactTime = seconds(3); // contact_ms: later changes have to be in force in time again
+        constexpr Duration ApplyTime = seconds(2); // config_apply_ms and drain_ms
+        GatewayHarness harness;
+        FakeServer staying;
+        FakeServer leaving;
+        staying.start(harness.m_loop, answerOk);
+        leaving.start(harness.m_loop, answerOk);
+        const GatewayHarness::Process &gateway = startServing(harness, {{"i-1", "plain", &staying}, {"i-2", "plain", &leaving}});
+        harness.runFor(milliseconds(1500)); // the watches wait
+        const auto change = [&] {
+            harness.m_store.put("op/config", configuration(2).dump());
+            harness.m_store.putReplica("i-2", "plain", leaving.address());
+        };
+        if (loseAnswers) {
+            harness.m_store.m_losesWatches = true;
+            change();
+        } else {
+            change();
+            harness.m_store.m_losesWatches = true;
+        }
+        harness.runFor(LossTime);
+        harness.m_store.m_losesWatches = false;
+        harness.runFor(ContactTime);
+        nlohmann::json withdrawn = configuration(3);
+        withdrawn["tenants"][0]["api_keys"] = {"k2"};
+        harness.m_store.put("op/config", withdrawn.dump());
+        harness.m_store.putReplica("i-2", "plain", leaving.address(), "draining");
+        harness.runFor(ApplyTime);
+        CPPUNIT_ASSERT_EQUAL(401, ask(harness, gateway, "GET", "/keyed/1", "k", {{"X-Api-Key", "k1"}}).m_reader.m_status);
+        const size_t before = leaving.m_requests.size();
+        for (int i = 0; i < 20; ++i) {
+            ask(harness, gateway, "GET", "/read/1", fmt::format("r{}", i));
+        }
+        CPPUNIT_ASSERT_EQUAL(before, leaving.m_requests.size());
+    }
+
+    // Guards against a watch call that gets no answer and is waited for while a key is withdrawn and a replica leaves.
+    void lostWatchCallsDoNotHideChanges()
+    {
+        checkChangesAfterLostWatches(false);
+    }
+
+    // Guards against a waiting watch whose answer got lost, with the same effect.
+    void lostWatchAnswersDoNotHideChanges()
+    {
+        checkChangesAfterLostWatches(true);
+    }
+
+    // Guards against a gateway that waits for an answer that got lost, while all others have seen the change.
+    void gatewaysNoticeChangesThatOneOfThemMisses()
+    {
+        constexpr size_t Gateways = 4;
+        constexpr Duration ApplyTime = seconds(2); // config_apply_ms
+        GatewayHarness harness;
+        FakeServer replica;
+        replica.start(harness.m_loop, answerOk);
+        std::vector<const GatewayHarness::Process *> gateways = {&startServing(harness, {{"i-1", "plain", &replica}})};
+        while (gateways.size() < Gateways) {
+            gateways.push_back(&harness.startGateway(fmt::format("g{}", gateways.size() + 1)));
+        }
+        int64_t version = 1;
+        for (size_t lost = 0; lost < Gateways; ++lost) {
+            harness.runFor(milliseconds(2500)); // the watches wait for long
+            harness.runUntil("watches", [&] { return harness.m_store.m_watches.size() == Gateways; });
+            const std::string key = lost % 2 == 0 ? "k2" : "k1";
+            const std::string withdrawn = lost % 2 == 0 ? "k1" : "k2";
+            nlohmann::json changed = configuration(++version);
+            changed["tenants"][0]["api_keys"] = {key};
+            harness.m_store.m_lostWatch = lost;
+            harness.m_store.put("op/config", changed.dump());
+            harness.runFor(ApplyTime);
+            for (const GatewayHarness::Process *gateway : gateways) {
+                const std::string what = fmt::format("watch {} lost, {}", lost, gateway->m_settings);
+                const HttpHeaders old = {{"X-Api-Key", withdrawn}};
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(what, 401, ask(harness, *gateway, "GET", "/keyed/1", "w", old).m_reader.m_status);
+                const HttpHeaders current = {{"X-Api-Key", key}};
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(what, 200, ask(harness, *gateway, "GET", "/keyed/1", "k", current).m_reader.m_status);
+            }
+        }
+    }
+
     // Guards against a prompt part that crashes one replica after the other, and against sound requests that share the others.
     void refusesPartThatCrashesReplicas()
     {
