--- a/src/gateway_attempts.cpp
+++ b/src/gateway_attempts.cpp
@@ -222,7 +222,7 @@
     exchange.m_attempt->m_partialEvent += std::exchange(reader.m_body, std::string());
     if (!exchange.m_attempt->m_began && exchange.m_attempt->m_partialEvent.find("\n\n") != std::string::npos) {
         exchange.m_attempt->m_began = true;
-        clearParts(gateway, sharedPartIds(exchange.m_parts));
+        clearSuspects(gateway, exchange);
     }
     const std::string events = takeEvents(exchange);
     if (events.empty()) {
@@ -341,7 +341,7 @@
         return;
     }
     exchange.m_attempt->m_began = true;
-    clearParts(gateway, sharedPartIds(exchange.m_parts));
+    clearSuspects(gateway, exchange);
     recordAttempt(gateway, exchange.m_attempt->m_replica, false, false, gatewayNow(gateway) - exchange.m_attempt->m_startedAt);
     releaseReplica(gateway, exchange);
     relayAnswer(gateway, exchange, reader);
@@ -498,7 +498,7 @@
         failExchange(gateway, exchange, HTTP_STATUS_UNAUTHORIZED, Reason::UnknownKey);
         return;
     }
-    if (rejectRefusedParts(gateway, exchange)) {
+    if (rejectRefused(gateway, exchange)) {
         return;
     }
     const std::optional<std::string> replica = chooseReplica(gateway, exchange);
--- a/src/gateway_crashes.cpp
+++ b/src/gateway_crashes.cpp
@@ -10,25 +10,22 @@
 
 constexpr Duration ProbeTimeout = milliseconds(400); ///< a host that is up refuses a connection within a round trip
 constexpr Duration RefusalGossipInterval = seconds(1);
-constexpr size_t RefusalGossipFanout = 3; ///< members that are told of the refused parts in each interval
-constexpr size_t MaxReportedMembers = 32; ///< members that are told of one crash; the others learn of a refusal by gossip
-constexpr size_t MaxGossipedParts = 256;
+constexpr size_t RefusalGossipFanout = 3; ///< members that are told what is refused in each interval
+constexpr size_t CrashCollectors = 32; ///< members that are told of crashes; the others learn of a refusal by gossip
+constexpr size_t MaxGossipedSuspects = 256; ///< of one kind
 constexpr Duration CrashRetryAfter = seconds(60); ///< for callers of requests that would crash a replica
-constexpr int CrashesBeforeRefusal = 3; ///< separate crashes with a part before it is refused
-constexpr Duration MinTimeBetweenCrashes = milliseconds(100); ///< replicas that crash closer together have one cause
-constexpr int MaxReportsPerSecond = 8; ///< many replicas that fail at once are no sign of a part that crashes them
+constexpr int MaxReportsPerSecond = 8; ///< many replicas that fail at once are no sign of a request that crashes them
 
-std::string formatParts(const std::vector<uint64_t> &parts)
+std::string formatIds(const std::vector<uint64_t> &ids)
 {
     std::string text;
-    for (const uint64_t part : parts) {
-        text += fmt::format("{}{:x}", text.empty() ? "" : ",", part);
+    for (const uint64_t id : ids) {
+        text += fmt::format("{}{:x}", text.empty() ? "" : ",", id);
     }
     return text;
 }
 
-/** Names of up to @p count other members, at random when there are more. */
-std::vector<std::string> pickMembers(Gateway &gateway, size_t count)
+std::vector<std::string> otherMembers(const Gateway &gateway)
 {
     std::vector<std::string> nodes;
     for (const auto &[node, member] : gateway.m_membership.m_members) {
@@ -36,107 +33,72 @@
             nodes.push_back(node);
         }
     }
+    return nodes;
+}
+
+/** Tells up to @p count other members, at random when there are more. */
+void tellSome(Gateway &gateway, const PeerMessage &message, size_t count)
+{
+    std::vector<std::string> nodes = otherMembers(gateway);
     for (size_t i = 0; i < std::min(count, nodes.size()); ++i) {
         std::swap(nodes[i], nodes[i + nextRandom(gateway.m_random) % (nodes.size() - i)]);
+        sendToPeer(gateway, nodes[i], message);
     }
-    nodes.resize(std::min(count, nodes.size()));
-    return nodes;
 }
 
-void tellMembers(Gateway &gateway, const PeerMessage &message, size_t count)
+/** Tells the members that collect the evidence of crashes. All gateways tell the same ones, so that reports add up there. */
+void tellCollectors(Gateway &gateway, const PeerMessage &message)
 {
-    for (const std::string &node : pickMembers(gateway, count)) {
-        sendToPeer(gateway, node, message);
+    std::vector<std::string> nodes = otherMembers(gateway);
+    std::sort(nodes.begin(), nodes.end(), [](const std::string &left, const std::string &right) { return hash64(left) < hash64(right); });
+    for (size_t i = 0; i < std::min(CrashCollectors, nodes.size()); ++i) {
+        sendToPeer(gateway, nodes[i], message);
     }
 }
 
-bool hasPart(const Exchange &exchange, uint64_t part)
+CrashSuspects suspectsOf(Exchange &exchange)
 {
-    const std::vector<uint64_t> parts = sharedPartIds(exchange.m_parts);
-    return std::find(parts.begin(), parts.end(), part) != parts.end();
+    if (!exchange.m_digest) {
+        const std::string caller =
+            exchange.m_organisation ? exchange.m_configuration->m_organisations[*exchange.m_organisation].m_name : std::string();
+        exchange.m_digest = requestDigest(exchange.m_request.m_target, caller, exchange.m_request.m_body, exchange.m_parts);
+    }
+    return {{*exchange.m_digest}, sharedPartIds(exchange.m_parts)};
 }
 
-/** Ends the open requests with a refused part that have not begun to be answered. */
-void endRequestsWith(Gateway &gateway, uint64_t part)
+/** Ends the open requests that are refused now and have not begun to be answered. */
+void endRefusedRequests(Gateway &gateway)
 {
-    std::vector<uint64_t> affected;
+    std::vector<uint64_t> open;
     for (const auto &[number, exchange] : gateway.m_exchanges) {
-        if (!exchange->m_attempt->m_began && hasPart(*exchange, part)) {
-            affected.push_back(number);
+        if (!exchange->m_attempt->m_began && exchange->m_route != nullptr) {
+            open.push_back(number);
         }
     }
-    for (const uint64_t number : affected) {
+    for (const uint64_t number : open) {
         if (Exchange *exchange = findExchange(gateway, number)) {
-            rejectRefusedParts(gateway, *exchange);
-        }
-    }
-}
-
-bool isRefused(const Gateway &gateway, uint64_t part)
-{
-    return isContentRefused(gateway.m_crashGuard, part, gatewayNow(gateway));
-}
-
-bool isSuspect(const CrashRecord &record, uint64_t part)
-{
-    return std::find(record.m_suspects.begin(), record.m_suspects.end(), part) != record.m_suspects.end();
-}
-
-void applyRefusal(Gateway &gateway, uint64_t part)
-{
-    writeLog(LogLevel::Warning, "crash", "Prompt part refused; requests with it crashed replicas.", {{"part", fmt::format("{:x}", part)}});
-    // These crashes are explained, so they are no evidence against the other parts of the lost requests.
-    std::erase_if(gateway.m_crashGuard.m_records, [part](const CrashRecord &record) { return isSuspect(record, part); });
-    gateway.m_nextRefusalGossip = TimePoint(); // the others learn of it with the next tick
-    endRequestsWith(gateway, part);
-}
-
-/** Number of crashes with @p part. Replicas that crash together, as in the loss of a failure domain, count once. */
-int separateCrashes(const CrashGuard &guard, uint64_t part)
-{
-    int count = 0;
-    TimePoint last;
-    for (const CrashRecord &record : guard.m_records) {
-        if (isSuspect(record, part) && (count == 0 || record.m_at - last >= MinTimeBetweenCrashes)) {
-            count += 1;
-            last = record.m_at;
+            rejectRefused(gateway, *exchange);
         }
     }
-    return count;
 }
 
-/**
- * The part that was suspected in the most crashes, at least CrashesBeforeRefusal of them. Among equals, one that was never answered,
- * then the last in @p parts: a later part of a prompt is shared by fewer requests, so that a wrong choice harms the fewest.
- * @param parts in the order of the prompt
- */
-std::optional<uint64_t> mostSuspected(const CrashGuard &guard, const std::vector<uint64_t> &parts)
+/** Logs and spreads new refusals. */
+void announceRefusals(Gateway &gateway, const CrashSuspects &refused)
 {
-    std::optional<uint64_t> chosen;
-    std::pair<int, bool> best(CrashesBeforeRefusal, false);
-    for (const uint64_t part : parts) {
-        const std::pair<int, bool> suspicion(separateCrashes(guard, part), !hasCompleted(guard, part));
-        if (suspicion >= best) {
-            chosen = part;
-            best = suspicion;
-        }
+    if (refused == CrashSuspects()) {
+        return;
     }
-    return chosen;
+    writeLog(LogLevel::Warning,
+             "crash",
+             "Refusing what crashed replicas.",
+             {{"requests", formatIds(refused.m_requests)}, {"parts", formatIds(refused.m_parts)}});
+    gateway.m_nextRefusalGossip = TimePoint(); // the others learn of it with the next tick
+    endRefusedRequests(gateway);
 }
 
-/** @param parts in the order of the prompt */
-void recordCrash(Gateway &gateway, const std::string &incarnation, const std::vector<uint64_t> &parts)
+void recordCrash(Gateway &gateway, const std::string &incarnation, const CrashSuspects &lost)
 {
-    if (std::any_of(parts.begin(), parts.end(), [&gateway](uint64_t part) { return isRefused(gateway, part); })) {
-        return; // explained by a part that is refused already
-    }
-    CrashGuard &guard = gateway.m_crashGuard;
-    const TimePoint now = gatewayNow(gateway);
-    observeLostRequests(guard, hash64(incarnation), parts, parts.size(), now);
-    if (const std::optional<uint64_t> part = mostSuspected(guard, parts)) {
-        applyContentRefusal(guard, {*part, now + guard.m_settings.m_refusal}, now);
-        applyRefusal(gateway, *part);
-    }
+    announceRefusals(gateway, observeCrash(gateway.m_crashEvidence, hash64(incarnation), lost, gatewayNow(gateway)));
 }
 
 bool mayReport(Gateway &gateway)
@@ -155,7 +117,7 @@
     if (entry == gateway.m_suspects.end()) {
         return;
     }
-    const std::vector<uint64_t> parts = std::move(entry->second);
+    const CrashSuspects lost = std::move(entry->second);
     gateway.m_suspects.erase(entry);
     if (!mayReport(gateway)) {
         return;
@@ -163,33 +125,35 @@
     writeLog(LogLevel::Info,
              "crash",
              "A replica crashed before requests on it had begun.",
-             {{"replica", incarnation}, {"parts", formatParts(parts)}});
+             {{"replica", incarnation}, {"requests", formatIds(lost.m_requests)}, {"parts", formatIds(lost.m_parts)}});
     PeerMessage message;
     message.m_kind = PeerKind::Crash;
     message.m_key = incarnation;
-    message.m_parts = parts;
-    std::copy_if(parts.begin(), parts.end(), std::back_inserter(message.m_completedParts), [&gateway](uint64_t part) {
-        return hasCompleted(gateway.m_crashGuard, part);
+    message.m_requests = lost.m_requests;
+    message.m_parts = lost.m_parts;
+    std::copy_if(lost.m_parts.begin(), lost.m_parts.end(), std::back_inserter(message.m_answeredParts), [&gateway](uint64_t part) {
+        return gateway.m_crashEvidence.m_answeredParts.contains(part);
     });
-    tellMembers(gateway, message, MaxReportedMembers);
-    recordCrash(gateway, incarnation, parts);
+    tellCollectors(gateway, message);
+    recordCrash(gateway, incarnation, lost);
 }
 
 } // namespace
 
-void suspectCrash(Gateway &gateway, const Exchange &exchange)
+void suspectCrash(Gateway &gateway, Exchange &exchange)
 {
-    const auto upstream = gateway.m_upstreams.find(exchange.m_attempt->m_replica);
-    const std::vector<uint64_t> parts = sharedPartIds(exchange.m_parts);
-    if (upstream == gateway.m_upstreams.end() || parts.empty()) {
+    const std::string &replica = exchange.m_attempt->m_replica;
+    const auto upstream = gateway.m_upstreams.find(replica);
+    if (upstream == gateway.m_upstreams.end()) {
         return;
     }
-    const std::string incarnation = fmt::format("{}@{}", exchange.m_attempt->m_replica, upstream->second.m_record.m_incarnationStart);
-    std::vector<uint64_t> &suspects = gateway.m_suspects[incarnation];
-    const bool isProbed = !suspects.empty();
-    suspects.insert(suspects.end(), parts.begin(), parts.end());
-    if (isProbed) {
-        return;
+    const std::string incarnation = fmt::format("{}@{}", replica, upstream->second.m_record.m_incarnationStart);
+    const auto [entry, isFirst] = gateway.m_suspects.try_emplace(incarnation);
+    const CrashSuspects lost = suspectsOf(exchange);
+    entry->second.m_requests.insert(entry->second.m_requests.end(), lost.m_requests.begin(), lost.m_requests.end());
+    entry->second.m_parts.insert(entry->second.m_parts.end(), lost.m_parts.begin(), lost.m_parts.end());
+    if (!isFirst) {
+        return; // the replica is probed already
     }
     ConnectionOptions options;
     options.m_connectTimeout = ProbeTimeout;
@@ -206,29 +170,40 @@
     };
 }
 
-void clearParts(Gateway &gateway, const std::vector<uint64_t> &parts)
+void clearSuspects(Gateway &gateway, Exchange &exchange)
 {
-    std::vector<uint64_t> cleared;
-    for (const uint64_t part : parts) {
-        if (observeCompletion(gateway.m_crashGuard, part)) {
-            cleared.push_back(part);
+    CrashEvidence &evidence = gateway.m_crashEvidence;
+    if (evidence.m_crashes.empty() && evidence.m_refusedRequests.empty() && evidence.m_refusedParts.empty()) {
+        for (const uint64_t part : sharedPartIds(exchange.m_parts)) {
+            noteAnsweredPart(evidence, part);
         }
+        return;
     }
-    if (cleared.empty()) {
+    const CrashSuspects cleared = observeAnswer(evidence, suspectsOf(exchange));
+    if (cleared == CrashSuspects()) {
         return;
     }
     PeerMessage message;
     message.m_kind = PeerKind::Cleared;
-    message.m_parts = cleared;
-    tellMembers(gateway, message, MaxReportedMembers);
+    message.m_requests = cleared.m_requests;
+    message.m_parts = cleared.m_parts;
+    tellCollectors(gateway, message);
 }
 
-bool rejectRefusedParts(Gateway &gateway, Exchange &exchange)
+bool rejectRefused(Gateway &gateway, Exchange &exchange)
 {
-    const std::vector<uint64_t> parts = sharedPartIds(exchange.m_parts);
-    if (std::none_of(parts.begin(), parts.end(), [&gateway](uint64_t part) { return isRefused(gateway, part); })) {
+    CrashEvidence &evidence = gateway.m_crashEvidence;
+    const TimePoint now = gatewayNow(gateway);
+    if (evidence.m_refusedRequests.empty() && evidence.m_refusedParts.empty()) {
+        return false;
+    }
+    const CrashSuspects suspects = suspectsOf(exchange);
+    if (!hasRefused(evidence, suspects, now)) {
         return false;
     }
+    if (isRequestRefused(evidence, *exchange.m_digest, now)) {
+        prolongRefusal(evidence, *exchange.m_digest, now);
+    }
     const bool mayHaveRun = exchange.m_attempts.m_ran > 0 || exchange.m_attempt->m_call != 0;
     if (mayHaveRun) {
         failExchange(gateway, exchange, HTTP_STATUS_BAD_GATEWAY, Reason::CrashGuard);
@@ -240,51 +215,58 @@
 
 void handleCrashMessage(Gateway &gateway, const PeerMessage &message)
 {
+    CrashEvidence &evidence = gateway.m_crashEvidence;
+    const CrashSuspects suspects{message.m_requests, message.m_parts};
     switch (message.m_kind) {
     case PeerKind::Crash:
-        for (const uint64_t part : message.m_completedParts) {
-            noteCompleted(gateway.m_crashGuard, part);
+        for (const uint64_t part : message.m_answeredParts) {
+            noteAnsweredPart(evidence, part);
         }
-        recordCrash(gateway, message.m_key, message.m_parts);
+        recordCrash(gateway, message.m_key, suspects);
         return;
     case PeerKind::Cleared:
-        for (const uint64_t part : message.m_parts) {
-            observeCompletion(gateway.m_crashGuard, part);
-        }
+        observeAnswer(evidence, suspects);
         return;
     case PeerKind::Refused:
-        for (const uint64_t part : message.m_parts) {
-            const TimePoint now = gatewayNow(gateway);
-            if (!isRefused(gateway, part)) {
-                applyContentRefusal(gateway.m_crashGuard, {part, now + Duration(message.m_timeLeftUs)}, now);
-                applyRefusal(gateway, part);
-            }
-        }
+        announceRefusals(gateway, applyRefusals(evidence, suspects, Duration(message.m_timeLeftUs), gatewayNow(gateway)));
         return;
     default:
         return;
     }
 }
 
+namespace {
+
+/** Ids in @p refusals that are refused now. @p until is lowered to the earliest end. */
+std::vector<uint64_t> activeRefusals(const std::unordered_map<uint64_t, TimePoint> &refusals, TimePoint now, TimePoint &until)
+{
+    std::vector<uint64_t> ids;
+    for (const auto &[id, end] : refusals) {
+        if (end > now && ids.size() < MaxGossipedSuspects) {
+            ids.push_back(id);
+            until = std::min(until, end);
+        }
+    }
+    return ids;
+}
+
+} // namespace
+
 void gossipRefusals(Gateway &gateway)
 {
     const TimePoint now = gatewayNow(gateway);
-    if (gateway.m_crashGuard.m_refusedUntil.empty() || now < gateway.m_nextRefusalGossip) {
+    if (now < gateway.m_nextRefusalGossip) {
         return;
     }
     gateway.m_nextRefusalGossip = now + RefusalGossipInterval;
     PeerMessage message;
     message.m_kind = PeerKind::Refused;
     TimePoint until = TimePoint::max();
-    for (const auto &[part, partUntil] : gateway.m_crashGuard.m_refusedUntil) {
-        if (partUntil > now && message.m_parts.size() < MaxGossipedParts) {
-            message.m_parts.push_back(part);
-            until = std::min(until, partUntil);
-        }
-    }
-    if (!message.m_parts.empty()) {
+    message.m_requests = activeRefusals(gateway.m_crashEvidence.m_refusedRequests, now, until);
+    message.m_parts = activeRefusals(gateway.m_crashEvidence.m_refusedParts, now, until);
+    if (!message.m_requests.empty() || !message.m_parts.empty()) {
         message.m_timeLeftUs = (until - now).count();
-        tellMembers(gateway, message, RefusalGossipFanout);
+        tellSome(gateway, message, RefusalGossipFanout);
     }
 }
 
--- a/src/gateway_internal.h
+++ b/src/gateway_internal.h
@@ -9,20 +9,18 @@
  *  [SECTION] Requests   admission, attempts and end of a request
  *  [SECTION] Stages     stage tasks of this gateway's requests, and the queues that this gateway owns
  *  [SECTION] Peers      messages between gateways
- *  [SECTION] Crashes    prompt parts that crash replicas
+ *  [SECTION] Crashes    requests and prompt parts that crash replicas
  *  [SECTION] Store      client of the key-value store
  *  [SECTION] Gateway    state of one gateway process
  */
 
 #include <array>
-#include <limits>
 #include <list>
 #include <set>
 
 #include "gateway.h"
 #include "net.h"
 #include "platform/platform.h"
-#include "policy.h"
 #include "serving.h"
 
 namespace Medlarramp::Serving {
@@ -187,6 +185,7 @@
     int m_planRestarts = 0;
 
     std::vector<PromptPart> m_parts;
+    std::optional<uint64_t> m_digest; ///< see requestDigest(); computed when it is needed first
     AttemptState m_attempts; ///< what all attempts add up to
     std::set<std::string> m_tried; ///< ids of replicas with a failed attempt
     std::unique_ptr<Attempt> m_attempt = std::make_unique<Attempt>(); ///< the latest attempt
@@ -326,8 +325,9 @@
     int64_t m_workUs = 0; ///< submit: expected time from the start of the stage to the answer, microseconds
     std::string m_failureDomain;
     uint8_t m_reason = 0;
+    std::vector<uint64_t> m_requests; ///< crash, cleared and refused: digests of requests
     std::vector<uint64_t> m_parts; ///< crash, cleared and refused: ids of prompt parts
-    std::vector<uint64_t> m_completedParts; ///< crash: those of m_parts that replicas have answered before
+    std::vector<uint64_t> m_answeredParts; ///< crash: those of m_parts that replicas have answered before
     int64_t m_revision = 0; ///< revision: the newest revision of the key-value store that the sender has seen
 
     template<typename Archive>
@@ -350,8 +350,9 @@
                 m_workUs,
                 m_failureDomain,
                 m_reason,
+                m_requests,
                 m_parts,
-                m_completedParts,
+                m_answeredParts,
                 m_revision);
     }
 };
@@ -376,16 +377,16 @@
 
 /**
  * A replica lost the request of @p exchange before it had begun to answer it. If the replica refuses connections, this is
- * reported to all gateways as a crash with the shared parts of the prompt as suspects.
+ * reported to other gateways as a crash, with the request and the shared parts of its prompt as suspects.
  */
-void suspectCrash(Gateway &gateway, const Exchange &exchange);
-/** A replica has begun to answer a request with @p parts, so that these do not crash replicas. */
-void clearParts(Gateway &gateway, const std::vector<uint64_t> &parts);
-/** Ends a request that has a refused part. @return whether it has one. */
-bool rejectRefusedParts(Gateway &gateway, Exchange &exchange);
+void suspectCrash(Gateway &gateway, Exchange &exchange);
+/** A replica has begun to answer @p exchange, so that neither the request nor its parts crash replicas. */
+void clearSuspects(Gateway &gateway, Exchange &exchange);
+/** Ends a request that is refused, or that has a refused part. @return whether it was. */
+bool rejectRefused(Gateway &gateway, Exchange &exchange);
 /** Handles a message of kind Crash, Cleared or Refused. */
 void handleCrashMessage(Gateway &gateway, const PeerMessage &message);
-/** Tells some members of the refused parts, so that gateways that were restarted or cut off learn of them. */
+/** Tells some members what is refused, so that gateways that were restarted or cut off learn of them. */
 void gossipRefusals(Gateway &gateway);
 
 //-----------------------------------------------------------------------------
@@ -482,9 +483,8 @@
     std::map<uint64_t, std::unique_ptr<UpstreamCall>> m_calls;
     uint64_t m_nextNumber = 1;
 
-    /** Records of crashes and refused contents, which are ids of prompt parts; blame is decided in gateway_crashes.cpp. */
-    CrashGuard m_crashGuard{.m_settings = {.m_crashes = std::numeric_limits<double>::max()}};
-    std::map<std::string, std::vector<uint64_t>> m_suspects; ///< by replica and incarnation, while it is probed
+    CrashEvidence m_crashEvidence;
+    std::map<std::string, CrashSuspects> m_suspects; ///< by replica and incarnation, while it is probed
     TimePoint m_nextRefusalGossip;
     TimePoint m_crashReportsSince; ///< start of the second in which m_crashReports were sent
     int m_crashReports = 0;
--- a/src/serving.h
+++ b/src/serving.h
@@ -13,6 +13,7 @@
  *  [SECTION] Start          whether a request is refused on arrival
  *  [SECTION] Placement      choice of the replica for a request
  *  [SECTION] Retries        the retry budget and the step after a failed attempt
+ *  [SECTION] Crashes        requests and prompt parts that crash replicas
  *
  * Decisions are free functions over plain structs; time and seed are parameters.
  */
@@ -645,4 +646,70 @@
 /** The step after a failed attempt. @p budgetLeft is called only when a retry is otherwise allowed. */
 NextStep decideNextStep(const AttemptState &state, AttemptEnd end, TimePoint now, const std::function<bool()> &budgetLeft);
 
+//-----------------------------------------------------------------------------
+// [SECTION] Crashes
+//-----------------------------------------------------------------------------
+
+constexpr size_t MaxReplicaCrashes = 64; ///< most recorded crashes; the oldest is dropped
+constexpr size_t MaxCrashSuspects = 256; ///< of one kind; a crash with more identifies none of them
+constexpr size_t MaxRefusedSuspects = 4096; ///< most refused suspects of one kind, those whose refusal has ended included
+constexpr size_t MaxAnsweredParts = 8192; ///< most prompt parts whose answer is remembered
+constexpr Duration CrashWindow = seconds(600); ///< older crashes are not counted
+constexpr Duration PartRefusalTime = seconds(600);
+constexpr Duration RequestRefusalTime = seconds(3600); ///< counted from the last time the request came
+constexpr Duration SuspectMemory = seconds(24 * 3600); ///< after its refusal, a suspect is refused again after one crash for this time
+
+/** What requests are recognised by when they may have crashed a replica. */
+struct CrashSuspects {
+    std::vector<uint64_t> m_requests; ///< results of requestDigest()
+    std::vector<uint64_t> m_parts; ///< ids of shared prompt parts, in the order of the prompt
+
+    bool operator==(const CrashSuspects &) const = default;
+};
+
+/** One crash of a replica with what was lost on it; reports of several gateways add up. */
+struct ReplicaCrash {
+    uint64_t m_incarnation = 0; ///< hash of replica and incarnation
+    TimePoint m_at;
+    CrashSuspects m_suspects;
+
+    bool operator==(const ReplicaCrash &) const = default;
+};
+
+/** Evidence of one gateway on what crashes replicas, and what it refuses because of it. */
+struct CrashEvidence {
+    std::deque<ReplicaCrash> m_crashes; ///< oldest first
+    std::unordered_map<uint64_t, TimePoint> m_refusedRequests; ///< end of the refusal, by digest
+    std::unordered_map<uint64_t, TimePoint> m_refusedParts; ///< end of the refusal, by id
+    std::unordered_set<uint64_t> m_answeredParts; ///< not all of them, as it is bounded
+};
+
+/**
+ * Digest of what makes two requests the same for a replica: path with query, caller and body, and the parts of the prompt, as the
+ * body need not hold the prompt. Reveals none of them.
+ */
+uint64_t requestDigest(std::string_view target, std::string_view caller, std::string_view body, const std::vector<PromptPart> &parts);
+bool isRequestRefused(const CrashEvidence &evidence, uint64_t digest, TimePoint now);
+bool isPartRefused(const CrashEvidence &evidence, uint64_t part, TimePoint now);
+/** Whether one of @p suspects is refused. */
+bool hasRefused(const CrashEvidence &evidence, const CrashSuspects &suspects, TimePoint now);
+/** Prolongs the refusal of a request that came again. */
+void prolongRefusal(CrashEvidence &evidence, uint64_t digest, TimePoint now);
+/**
+ * Records that a replica crashed with the requests of @p lost on it, none of which had begun to be answered.
+ *
+ * A request is refused after three crashes of replicas that it was lost on. A shared part is refused after three crashes at
+ * different times, unless one request was lost in all of them, which then explains them. Of several such parts, the one that was
+ * there most often is refused, among equals one that was never answered, then the last in the prompt, as a later part is shared
+ * by fewer requests.
+ * @return what is refused from now on and was not before
+ */
+CrashSuspects observeCrash(CrashEvidence &evidence, uint64_t incarnation, const CrashSuspects &lost, TimePoint now);
+/** Clears the suspects of a request that a replica has begun to answer. @return those that were suspected in a crash. */
+CrashSuspects observeAnswer(CrashEvidence &evidence, const CrashSuspects &answered);
+/** Notes that a part was answered at some time, here or at another gateway; it stays a suspect. */
+void noteAnsweredPart(CrashEvidence &evidence, uint64_t part);
+/** Refuses @p suspects for @p timeLeft at most, as another gateway does. @return those that were not refused before. */
+CrashSuspects applyRefusals(CrashEvidence &evidence, const CrashSuspects &suspects, Duration timeLeft, TimePoint now);
+
 } // namespace Medlarramp::Serving
--- a/tests/gateway_world.h
+++ b/tests/gateway_world.h
@@ -12,6 +12,7 @@
 #include <list>
 #include <map>
 #include <optional>
+#include <set>
 #include <spawn.h>
 #include <string>
 #include <sys/wait.h>
@@ -59,6 +60,24 @@
         return fmt::format("127.0.0.1:{}", m_listener.port());
     }
 
+    /** Resets all connections and refuses new ones, at the same address, for @p downTime. @p onRestart is called after that. */
+    void crash(Duration downTime, const std::function<void()> &onRestart)
+    {
+        const int port = m_listener.port();
+        m_listener.close();
+        for (NetConnection *net : std::exchange(m_open, {})) {
+            net->resetConnection();
+            for (const std::shared_ptr<ReceivedRequest> &request : m_requests) {
+                request->m_net = request->m_net == net ? nullptr : request->m_net;
+            }
+        }
+        m_restart.start(*m_loop, downTime, [this, port, onRestart] {
+            const absl::Status status = m_listener.listen(*m_loop, {"127.0.0.1", port}, {}, [this](NetConnection *net) { accept(net); });
+            CPPUNIT_ASSERT_MESSAGE(std::string(status.message()), status.ok());
+            onRestart();
+        });
+    }
+
     /** Requests whose target begins with @p prefix. */
     [[nodiscard]] std::vector<std::shared_ptr<ReceivedRequest>> requestsFor(const std::string &prefix) const
     {
@@ -72,9 +91,13 @@
     }
 
 private:
+    NetTimer m_restart;
+    std::set<NetConnection *> m_open;
+
     void accept(NetConnection *net)
     {
         m_connections += 1;
+        m_open.insert(net);
         auto reader = std::make_shared<HttpReader>(HTTP_REQUEST, 64 * 1024, 16 * 1024 * 1024);
         auto open = std::make_shared<std::vector<std::weak_ptr<ReceivedRequest>>>();
         net->m_onData = [this, net, reader, open](std::string_view data) {
@@ -92,7 +115,8 @@
                 m_handler(*this, request);
             }
         };
-        net->m_onClose = [open](CloseCause, const absl::Status &) {
+        net->m_onClose = [this, net, open](CloseCause, const absl::Status &) {
+            m_open.erase(net);
             for (const std::weak_ptr<ReceivedRequest> &request : *open) {
                 if (const std::shared_ptr<ReceivedRequest> alive = request.lock()) {
                     alive->m_net = nullptr;
@@ -157,7 +181,12 @@
         }
     }
 
-    void putReplica(const std::string &id, const std::string &service, const std::string &address, const std::string &state = "ready")
+    /** @param born start of the incarnation */
+    void putReplica(const std::string &id,
+                    const std::string &service,
+                    const std::string &address,
+                    const std::string &state = "ready",
+                    int64_t born = 1)
     {
         put("servers/" + id,
             nlohmann::json{{"service", service},
@@ -168,7 +197,7 @@
                            {"state", state},
                            {"cold_left_ms", 0},
                            {"sequence", 1},
-                           {"born", 1}}
+                           {"born", born}}
                 .dump());
     }
 
--- a/tests/test_gateway_faults.cpp
+++ b/tests/test_gateway_faults.cpp
@@ -33,6 +33,7 @@
     CPPUNIT_TEST(noticesTheReturnOfTheStoreInTimeForAChange);
     CPPUNIT_TEST(refusesPartThatCrashesReplicas);
     CPPUNIT_TEST(partsThatComeWithACrashingOneAreNotRefused);
+    CPPUNIT_TEST(refusesRequestThatCrashesReplicas);
     CPPUNIT_TEST(missingStageResultsAreRetriedWithinTheBudget);
     CPPUNIT_TEST(failsAnswerThatStopsInItsHead);
     CPPUNIT_TEST(abortsUnframedStreamThatEndsInsideAnEvent);
@@ -635,6 +636,48 @@
         CPPUNIT_ASSERT_EQUAL(200, ask(harness, gateway, "POST", "/stream/1", "s1", {{"X-Prefix-Hash", "a:10,b:5,3:2"}}).m_reader.m_status);
     }
 
+    // Guards against one request that crashes replica after replica, with and without prompt parts, also at a restarted gateway.
+    void refusesRequestThatCrashesReplicas()
+    {
+        constexpr int64_t MaxRuns = 6; // three crashes, and three retries before all gateways refuse it
+        for (const char *target : {"/plain/dead", "/read/dead", "/stream/dead"}) {
+            GatewayHarness harness;
+            FakeServer replica;
+            const std::string service = std::string(target).find("stream") == std::string::npos ? "plain" : "model";
+            int64_t crashes = 0;
+            replica.start(harness.m_loop, [&](FakeServer &server, const std::shared_ptr<ReceivedRequest> &request) {
+                if (request->m_request.m_target.find("dead") == std::string::npos) {
+                    reply(request, formatAnswer(200, replicaHeaders(request), event(1), true));
+                    return;
+                }
+                crashes += 1;
+                server.crash(milliseconds(700),
+                             [&] { harness.m_store.putReplica("i-1", service, replica.address(), "ready", 1 + crashes); });
+            });
+            const GatewayHarness::Process &first = startServing(harness, {{"i-1", service.c_str(), &replica}});
+            const GatewayHarness::Process &second = harness.startGateway("g2");
+            const std::string sound = std::string(target).replace(std::string(target).find("dead"), 4, "sound");
+            int id = 0;
+            const auto send = [&](const GatewayHarness::Process &gateway, const std::string &path) {
+                id += 1;
+                const HttpHeaders prompt = {{"X-Prefix-Hash", fmt::format("a:10,b:5,{:x}:2", path == target ? 1 : id)}};
+                return ask(harness, gateway, "POST", path, fmt::format("r{}", id), prompt).m_reader.m_status;
+            };
+            for (int round = 0; round < 8; ++round) {
+                send(round % 2 == 0 ? first : second, target);
+                harness.runFor(milliseconds(1500)); // the replica is back
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(sound, 200, send(round % 2 == 0 ? second : first, sound));
+            }
+            CPPUNIT_ASSERT_MESSAGE(fmt::format("{}: {} crashes", target, crashes), crashes <= MaxRuns);
+            const int64_t before = crashes;
+            const GatewayHarness::Process &restarted = harness.startGateway("g3");
+            harness.runFor(milliseconds(2500)); // gossip reaches it
+            CPPUNIT_ASSERT_EQUAL(503, send(restarted, target));
+            CPPUNIT_ASSERT_EQUAL(200, send(restarted, sound));
+            CPPUNIT_ASSERT_EQUAL(before, crashes);
+        }
+    }
+
     // Guards against retries beyond the budget of the service when replicas find that stage results are gone.
     void missingStageResultsAreRetriedWithinTheBudget()
     {
--- a/tests/test_serving.cpp
+++ b/tests/test_serving.cpp
@@ -99,6 +99,13 @@
     CPPUNIT_TEST(expiredInputsRerunOnlyDependentStages);
     CPPUNIT_TEST(promptsArePlacedWhereTheyAreCached);
     CPPUNIT_TEST(suspectedReplicaIsTheLastChoice);
+    CPPUNIT_TEST(requestThatCrashesReplicasIsRefusedAmongOthers);
+    CPPUNIT_TEST(partsOfOneCrashingRequestAreNotRefused);
+    CPPUNIT_TEST(partThatCrashesReplicasIsRefusedWhoeverHasIt);
+    CPPUNIT_TEST(answerClearsWhatWasSuspected);
+    CPPUNIT_TEST(refusedRequestThatComesAgainStaysRefused);
+    CPPUNIT_TEST(replicasThatCrashTogetherDoNotBlameAPart);
+    CPPUNIT_TEST(requestsOfOthersHaveOtherDigests);
     CPPUNIT_TEST_SUITE_END();
 
     // Guards against a route with a short prefix that takes the requests of a longer one.
@@ -570,6 +577,106 @@
         views[2].m_suspected = true;
         CPPUNIT_ASSERT(placePlain(views, {}, random).has_value());
     }
+
+    static constexpr uint64_t Guilty = 99; ///< digest of a request
+    static constexpr uint64_t GuiltyPart = 0xdead;
+
+    /** Time of crash number @p index, a second after the one before. */
+    static TimePoint crashTime(uint64_t index)
+    {
+        return TimePoint(seconds(static_cast<int64_t>(index) + 1));
+    }
+
+    // Guards against a request that is never refused because other requests are lost with it, and against refusing these.
+    void requestThatCrashesReplicasIsRefusedAmongOthers()
+    {
+        CrashEvidence evidence;
+        for (uint64_t i = 0; i < 3; ++i) {
+            CPPUNIT_ASSERT(!isRequestRefused(evidence, Guilty, crashTime(i)));
+            observeCrash(evidence, i, {{10 + i, Guilty, 20 + i}, {}}, crashTime(i));
+        }
+        CPPUNIT_ASSERT(isRequestRefused(evidence, Guilty, crashTime(3)));
+        CPPUNIT_ASSERT_EQUAL(size_t(1), evidence.m_refusedRequests.size());
+    }
+
+    // Guards against refusing a shared part, and with it sound requests, for what one request does.
+    void partsOfOneCrashingRequestAreNotRefused()
+    {
+        CrashEvidence evidence;
+        for (uint64_t i = 0; i < 10; ++i) {
+            observeCrash(evidence, i, {{Guilty}, {1, 2}}, crashTime(i));
+        }
+        CPPUNIT_ASSERT(isRequestRefused(evidence, Guilty, crashTime(10)));
+        CPPUNIT_ASSERT(evidence.m_refusedParts.empty());
+    }
+
+    // Guards against a part that is never refused because each request with it is another one or is refused by itself.
+    void partThatCrashesReplicasIsRefusedWhoeverHasIt()
+    {
+        CrashEvidence different;
+        CrashEvidence repeated;
+        for (uint64_t i = 0; i < 4; ++i) {
+            observeCrash(different, i, {{i}, {1, GuiltyPart}}, crashTime(i));
+            observeAnswer(different, {{}, {1}});
+            observeCrash(repeated, i, {{i / 3}, {1, GuiltyPart}}, crashTime(i));
+            observeAnswer(repeated, {{}, {1}});
+        }
+        for (const CrashEvidence &evidence : {different, repeated}) {
+            CPPUNIT_ASSERT(isPartRefused(evidence, GuiltyPart, crashTime(4)));
+            CPPUNIT_ASSERT(!isPartRefused(evidence, 1, crashTime(4)));
+        }
+    }
+
+    // Guards against refusing what a replica has answered since it was lost in crashes.
+    void answerClearsWhatWasSuspected()
+    {
+        CrashEvidence evidence;
+        observeCrash(evidence, 1, {{Guilty}, {1}}, crashTime(1));
+        observeCrash(evidence, 2, {{Guilty}, {1}}, crashTime(2));
+        CPPUNIT_ASSERT((observeAnswer(evidence, {{Guilty}, {1}}) == CrashSuspects{{Guilty}, {1}}));
+        observeCrash(evidence, 3, {{Guilty}, {1}}, crashTime(3));
+        CPPUNIT_ASSERT(!isRequestRefused(evidence, Guilty, crashTime(3)));
+        applyRefusals(evidence, {{Guilty}, {1}}, seconds(60), crashTime(3));
+        observeAnswer(evidence, {{Guilty}, {1}});
+        CPPUNIT_ASSERT(!hasRefused(evidence, {{Guilty}, {1}}, crashTime(3)));
+    }
+
+    // Guards against three more crashes after each end of a refusal.
+    void refusedRequestThatComesAgainStaysRefused()
+    {
+        CrashEvidence evidence;
+        applyRefusals(evidence, {{Guilty}, {}}, RequestRefusalTime, crashTime(0));
+        prolongRefusal(evidence, Guilty, crashTime(0) + RequestRefusalTime / 2);
+        CPPUNIT_ASSERT(isRequestRefused(evidence, Guilty, crashTime(0) + RequestRefusalTime));
+        const TimePoint ended = crashTime(0) + RequestRefusalTime * 2;
+        CPPUNIT_ASSERT(!isRequestRefused(evidence, Guilty, ended));
+        observeCrash(evidence, 1, {{Guilty, 1}, {}}, ended);
+        CPPUNIT_ASSERT(isRequestRefused(evidence, Guilty, ended + seconds(1)));
+        CPPUNIT_ASSERT(!isRequestRefused(evidence, 1, ended + seconds(1)));
+    }
+
+    // Guards against refusing a part because a failure domain was lost, and a request that crashes its replicas in no time.
+    void replicasThatCrashTogetherDoNotBlameAPart()
+    {
+        CrashEvidence evidence;
+        for (uint64_t i = 0; i < 5; ++i) {
+            observeCrash(evidence, i, {{Guilty, i}, {GuiltyPart}}, crashTime(0) + milliseconds(static_cast<int64_t>(i)));
+        }
+        CPPUNIT_ASSERT(evidence.m_refusedParts.empty());
+        CPPUNIT_ASSERT(isRequestRefused(evidence, Guilty, crashTime(1)));
+    }
+
+    // Guards against refusing the requests of one caller for those of another.
+    void requestsOfOthersHaveOtherDigests()
+    {
+        const std::vector<PromptPart> parts = {{1, 10}, {2, 10}};
+        const uint64_t digest = requestDigest("/a", "caller", "body", parts);
+        CPPUNIT_ASSERT_EQUAL(digest, requestDigest("/a", "caller", "body", parts));
+        CPPUNIT_ASSERT(digest != requestDigest("/a", "other", "body", parts));
+        CPPUNIT_ASSERT(digest != requestDigest("/a", "caller", "other", parts));
+        CPPUNIT_ASSERT(digest != requestDigest("/a", "caller", "body", {{1, 10}, {3, 10}}));
+        CPPUNIT_ASSERT(requestDigest("/a", "caller", "body", {}) != requestDigest("/ab", "caller", "ody", {}));
+    }
 };
 
 CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(ServingTest, "serving");
