Read items of the key-value store one by one

Cause here: one item with a value that is no base64, or a key that is no text, failed the whole answer of the store, and the watch read it again and again. Numbers of registrations and members were cast without a range. An odd item is now left out by itself, logged with its key and reason and counted (medlarramp_invalid_items); an entry that replaces a good one names no replica to use, and a member stays one until its item is removed.

Not done: settings and messages between gateways.

--- a/src/gateway_internal.h
+++ b/src/gateway_internal.h
@@ -508,6 +508,7 @@
     std::array<uint64_t, static_cast<size_t>(Reason::Count)> m_refusals{};
     std::array<uint64_t, static_cast<size_t>(Reason::Count)> m_retries{}; ///< by reason
     uint64_t m_answered = 0; ///< forwarded answers of replicas
+    uint64_t m_invalidItems = 0; ///< items of the key-value store that were left out
 };
 
 inline TimePoint gatewayNow(const Gateway &gateway)
--- a/src/gateway_run.cpp
+++ b/src/gateway_run.cpp
@@ -62,6 +62,10 @@
               gateway.m_refusals);
     addCounts(registry, "medlarramp_retries_total", "Retries of attempts and stage tasks, by reason", gateway.m_retries);
     addGauge(registry, "medlarramp_answered", "Answers of replicas forwarded to callers", static_cast<double>(gateway.m_answered));
+    addGauge(registry,
+             "medlarramp_invalid_items",
+             "Items of the key-value store that were left out because they can't be read",
+             static_cast<double>(gateway.m_invalidItems));
     addGauge(registry, "medlarramp_open_requests", "Requests not answered yet", static_cast<double>(gateway.m_exchanges.size()));
     addGauge(registry, "medlarramp_gateways", "Gateways in the membership", static_cast<double>(gateway.m_membership.m_members.size()));
     addGauge(registry, "medlarramp_replicas", "Replicas in the registry", static_cast<double>(gateway.m_registry.m_replicas.size()));
--- a/src/gateway_store.cpp
+++ b/src/gateway_store.cpp
@@ -240,6 +240,14 @@
     store.m_failures += 1;
 }
 
+void countUnreadable(Gateway &gateway, const Platform::StoreItems &items)
+{
+    if (items.m_unreadable > 0) {
+        gateway.m_invalidItems += static_cast<uint64_t>(items.m_unreadable);
+        writeLog(LogLevel::Warning, "store", "Items without a readable key ignored.", {{"count", fmt::format("{}", items.m_unreadable)}});
+    }
+}
+
 /** Records an answer to the watch or a listing. */
 void recordWatchAnswer(Gateway &gateway)
 {
@@ -291,9 +299,16 @@
         return;
     }
     absl::StatusOr<Member> member = Platform::decodeMember(item.m_value);
-    if (member.ok()) {
-        gateway.m_store.m_members[item.m_key] = std::move(*member);
+    if (!member.ok()) {
+        // A member that was known stays one until its item is removed: tasks may be open at it.
+        gateway.m_invalidItems += 1;
+        writeLog(LogLevel::Warning,
+                 "store",
+                 "Invalid member ignored.",
+                 {{"key", item.m_key}, {"error", std::string(member.status().message())}});
+        return;
     }
+    gateway.m_store.m_members[item.m_key] = std::move(*member);
 }
 
 void applyMembers(Gateway &gateway)
@@ -305,10 +320,12 @@
     replaceMembers(gateway.m_membership, std::move(members), gatewayNow(gateway));
 }
 
-std::optional<ReplicaRecord> readRecord(const Platform::StoreItem &item)
+/** An entry that can't be read names no replica to use, also when it replaces one that did. */
+std::optional<ReplicaRecord> readRecord(Gateway &gateway, const Platform::StoreItem &item)
 {
     absl::StatusOr<ReplicaRecord> record = Platform::decodeRegistration(idOf(item.m_key, Platform::RegistrationPrefix), item.m_value);
     if (!record.ok()) {
+        gateway.m_invalidItems += 1;
         writeLog(LogLevel::Warning,
                  "registry",
                  "Invalid registration ignored.",
@@ -379,7 +396,7 @@
             replicasChanged = true;
             const std::string id = idOf(item.m_key, Platform::RegistrationPrefix);
             const std::string_view before = describeReplica(gateway.m_registry, id);
-            std::optional<ReplicaRecord> record = item.m_removed ? std::nullopt : readRecord(item);
+            std::optional<ReplicaRecord> record = item.m_removed ? std::nullopt : readRecord(gateway, item);
             if (record) {
                 upsertReplica(gateway.m_registry, std::move(*record));
             } else if (item.m_removed) {
@@ -402,7 +419,7 @@
 {
     std::vector<ReplicaRecord> records;
     for (const Platform::StoreItem &item : items) {
-        if (std::optional<ReplicaRecord> record = readRecord(item)) {
+        if (std::optional<ReplicaRecord> record = readRecord(gateway, item)) {
             records.push_back(std::move(*record));
         }
     }
@@ -507,6 +524,7 @@
         return;
     }
     recordWatchAnswer(gateway);
+    countUnreadable(gateway, *page);
     watch.m_listRevision = watch.m_listRevision == 0 ? page->m_asOf : watch.m_listRevision;
     const std::string last = page->m_items.empty() ? "" : page->m_items.back().m_key;
     const bool more = page->m_more && !last.empty();
@@ -547,6 +565,7 @@
     if (events.ok()) {
         const Duration age = watchAge(gateway);
         recordWatchAnswer(gateway);
+        countUnreadable(gateway, *events);
         watch.m_revision = std::max(watch.m_revision, events->m_asOf);
         const bool wasCurrent = watch.m_isCurrent;
         watch.m_isProven = wasCurrent && events->m_items.empty();
--- a/tests/test_gateway_faults.cpp
+++ b/tests/test_gateway_faults.cpp
@@ -34,6 +34,7 @@
     CPPUNIT_TEST(refusesPartThatCrashesReplicas);
     CPPUNIT_TEST(partsThatComeWithACrashingOneAreNotRefused);
     CPPUNIT_TEST(refusesRequestThatCrashesReplicas);
+    CPPUNIT_TEST(followsRegistrationsBesideOddOnes);
     CPPUNIT_TEST(missingStageResultsAreRetriedWithinTheBudget);
     CPPUNIT_TEST(failsAnswerThatStopsInItsHead);
     CPPUNIT_TEST(abortsUnframedStreamThatEndsInsideAnEvent);
@@ -678,6 +679,33 @@
         }
     }
 
+    // Guards against a gateway that ends, or stops following the registrations, because of an odd one among them.
+    void followsRegistrationsBesideOddOnes()
+    {
+        GatewayHarness harness;
+        FakeServer first;
+        FakeServer second;
+        first.start(harness.m_loop, answerOk);
+        second.start(harness.m_loop, answerOk);
+        harness.m_store.put("servers/odd-0", std::string(100'000, '['));
+        const GatewayHarness::Process &gateway = startServing(harness, {{"i-1", "plain", &first}});
+        const std::string start = R"({"service":"plain","address":"127.0.0.1:1","zone":"z1","state":"ready","slots":)";
+        const std::string odd[] = {std::string(100'000, '{'), start + "1e300}", start + "1", "\xff\xfe", std::string(3'000'000, 'x'), ""};
+        for (size_t i = 0; i < std::size(odd); ++i) {
+            harness.m_store.put(fmt::format("servers/odd-{}", i + 1), odd[i]);
+            harness.m_store.put(fmt::format("entries/odd-{}", i + 1), odd[i]);
+        }
+        harness.m_store.putReplica("i-2", "plain", second.address());
+        harness.m_store.put("servers/i-1", start + "1e300}"); // replaces a good one, which is not used any more
+        harness.runFor(seconds(2));
+        const size_t before = first.m_requests.size();
+        for (int i = 0; i < 10; ++i) {
+            CPPUNIT_ASSERT_EQUAL(200, ask(harness, gateway, "GET", "/read/1", fmt::format("r{}", i)).m_reader.m_status);
+        }
+        CPPUNIT_ASSERT_EQUAL(before, first.m_requests.size());
+        CPPUNIT_ASSERT_EQUAL(size_t(10), second.m_requests.size());
+    }
+
     // Guards against retries beyond the budget of the service when replicas find that stage results are gone.
     void missingStageResultsAreRetriedWithinTheBudget()
     {
