--- a/src/gateway_peers.cpp
+++ b/src/gateway_peers.cpp
@@ -134,7 +134,6 @@
     task.m_resultBytes = message.m_resultBytes;
     task.m_work = Duration(message.m_workUs);
     task.m_failureDomain = message.m_failureDomain;
-    constexpr int32_t MaxPieces = 4096; // limit for one stage of one request
     task.m_pieces.resize(static_cast<size_t>(std::clamp(message.m_pieces, 0, MaxPieces)));
     for (size_t i = 0; i < task.m_pieces.size(); ++i) {
         task.m_pieces[i] = static_cast<int>(i);
--- a/src/gateway_requests.cpp
+++ b/src/gateway_requests.cpp
@@ -173,6 +173,10 @@
         failExchange(gateway, exchange, HTTP_STATUS_BAD_REQUEST, Reason::MalformedRequest);
         return false;
     }
+    if (!areValidCounts(Platform::parseCounts(findHeader(exchange.m_request.m_headers, Platform::Pieces).value_or("")))) {
+        failExchange(gateway, exchange, HTTP_STATUS_BAD_REQUEST, Reason::MalformedRequest);
+        return false;
+    }
     if (gateway.m_draining && gatewayNow(gateway) - gateway.m_drainStartedAt > AdmissionTimeAfterSigterm) {
         refuseExchange(gateway, exchange, Reason::Draining);
         return false;
--- a/src/serving.h
+++ b/src/serving.h
@@ -330,6 +330,10 @@
  * @param size in the same unit for all requests of a route; 0 when unknown
  */
 double requestValue(SizeMean &mean, int rank, double size);
+/** Limit on the pieces of one stage of one request. */
+constexpr int MaxPieces = 4096;
+/** Whether the numbers of pieces of a request are between 0 and MaxPieces. */
+bool areValidCounts(const std::vector<int> &pieces);
 StagePlan makePlan(const ServingRoute &route, const std::vector<int> &pieces);
 /** Handles of the results that @p stage reads: those of all pieces of the stages in its m_after. */
 std::vector<std::string> inputsOf(const ServingRoute &route, const StagePlan &plan, size_t stage);
--- a/src/serving_plan.cpp
+++ b/src/serving_plan.cpp
@@ -87,6 +87,11 @@
     return weight * std::min(MaxRelativeValue, MinValueShare + (1 - MinValueShare) * size / mean.m_mean);
 }
 
+bool areValidCounts(const std::vector<int> &pieces)
+{
+    return std::all_of(pieces.begin(), pieces.end(), [](int count) { return count >= 0 && count <= MaxPieces; });
+}
+
 StagePlan makePlan(const ServingRoute &route, const std::vector<int> &pieces)
 {
     StagePlan plan;
