--- a/src/gateway_callers.cpp
+++ b/src/gateway_callers.cpp
@@ -53,7 +53,13 @@
 
 void startIdleTimeout(Gateway &gateway, CallerConnection &caller)
 {
-    caller.m_timer.start(gateway.m_loop, limitsOf(gateway).m_idleTimeout, [&gateway, &caller] { dropCaller(gateway, caller); });
+    caller.m_timer.start(gateway.m_loop, limitsOf(gateway).m_idleTimeout, [&gateway, &caller] {
+        if (caller.m_net->queuedBytes() > 0) {
+            startIdleTimeout(gateway, caller); // the caller still reads the last answer
+            return;
+        }
+        dropCaller(gateway, caller);
+    });
 }
 
 /** Limits the time for the rest of a request head, and then the time for the body to the idle timeout. */
@@ -157,6 +163,7 @@
     CallerConnection &caller = gateway.m_callers.emplace_back(limitsOf(gateway));
     caller.m_self = std::prev(gateway.m_callers.end());
     caller.m_net = net;
+    net->m_mustFlush = true;
     net->m_onData = [&gateway, &caller](std::string_view data) { readCaller(gateway, caller, data); };
     net->m_onClose = [&gateway, &caller](CloseCause, const absl::Status &) {
         caller.m_net = nullptr;
--- a/src/gateway_run.cpp
+++ b/src/gateway_run.cpp
@@ -149,7 +149,8 @@
 bool isIdle(const Gateway &gateway)
 {
     const bool isQuiet = gatewayNow(gateway) - gateway.m_lastCallerBytesAt >= QuietBeforeExit;
-    return isQuiet && gateway.m_exchanges.empty() && !hasPartialRequests(gateway) && !hasQueuedWork(gateway);
+    const bool isFlushed = unflushedBytes(gateway.m_loop) == 0;
+    return isQuiet && isFlushed && gateway.m_exchanges.empty() && !hasPartialRequests(gateway) && !hasQueuedWork(gateway);
 }
 
 /** Answers requests that can't finish before the process exits. Includes requests at a replica only with @p everything. */
@@ -185,7 +186,11 @@
         refusePartialRequests(gateway);
     }
     if (elapsed >= ListenAfterSigterm && (isIdle(gateway) || left <= ExitMargin)) {
-        writeLog(LogLevel::Info, "main", "Shutdown ended.", {{"requests_left", fmt::format("{}", gateway.m_exchanges.size())}});
+        writeLog(LogLevel::Info,
+                 "main",
+                 "Shutdown ended.",
+                 {{"requests_left", fmt::format("{}", gateway.m_exchanges.size())},
+                  {"unsent_bytes", fmt::format("{}", unflushedBytes(gateway.m_loop))}});
         stopLoop(gateway.m_loop);
     }
 }
--- a/src/net.h
+++ b/src/net.h
@@ -54,6 +54,8 @@
 /** Closes all connections and runs until everything is released. Timers and listeners have to be gone before. */
 void closeLoop(NetLoop &loop);
 TimePoint loopNow(const NetLoop &loop);
+/** Bytes not yet passed to the system on the connections of the loop with m_mustFlush, those that close after them included. */
+size_t unflushedBytes(const NetLoop &loop);
 
 //-----------------------------------------------------------------------------
 // [SECTION] Timers
@@ -115,6 +117,7 @@
     std::function<void()> m_onConnect; ///< outgoing connections only
     std::function<void(std::string_view)> m_onData;
     std::function<void(CloseCause, absl::Status)> m_onClose;
+    bool m_mustFlush = false; ///< what is queued here is to be written before the process exits
 
     static NetConnection *connect(NetLoop &loop, const SocketAddress &address, const ConnectionOptions &options);
     static NetConnection *accept(NetLoop &loop, uv_stream_t *listener, const ConnectionOptions &options);
--- a/src/net_loop.cpp
+++ b/src/net_loop.cpp
@@ -65,6 +65,15 @@
     }
 }
 
+size_t unflushedBytes(const NetLoop &loop)
+{
+    size_t bytes = 0;
+    for (const NetConnection *connection : loop.m_connections) {
+        bytes += connection->m_mustFlush ? connection->queuedBytes() : 0;
+    }
+    return bytes;
+}
+
 TimePoint loopNow(const NetLoop &loop)
 {
     return now(*loop.m_clock);
--- a/tests/gateway_world.h
+++ b/tests/gateway_world.h
@@ -103,9 +103,12 @@
         net->m_onData = [this, net, reader, open](std::string_view data) {
             while (!data.empty()) {
                 data.remove_prefix(reader->feed(data));
-                if (reader->m_state != ParseState::Done) {
+                if (reader->m_state == ParseState::Head || reader->m_state == ParseState::Body) {
                     continue;
                 }
+                if (reader->m_state != ParseState::Done) {
+                    return; // no request
+                }
                 auto request = std::make_shared<ReceivedRequest>();
                 request->m_request = {reader->m_method, reader->m_target, reader->m_headers, reader->m_body, reader->m_keepAlive};
                 request->m_net = net;
--- a/tests/test_gateway_faults.cpp
+++ b/tests/test_gateway_faults.cpp
@@ -1,4 +1,5 @@
 #include <set>
+#include <sys/socket.h>
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -35,6 +36,8 @@
     CPPUNIT_TEST(partsThatComeWithACrashingOneAreNotRefused);
     CPPUNIT_TEST(refusesRequestThatCrashesReplicas);
     CPPUNIT_TEST(followsRegistrationsBesideOddOnes);
+    CPPUNIT_TEST(rejectsRequestsWithTooManyPieces);
+    CPPUNIT_TEST(slowCallersGetWholeAnswersAtShutdown);
     CPPUNIT_TEST(missingStageResultsAreRetriedWithinTheBudget);
     CPPUNIT_TEST(failsAnswerThatStopsInItsHead);
     CPPUNIT_TEST(abortsUnframedStreamThatEndsInsideAnEvent);
@@ -706,6 +709,65 @@
         CPPUNIT_ASSERT_EQUAL(size_t(10), second.m_requests.size());
     }
 
+    // Guards against one header that makes a gateway take gigabytes.
+    void rejectsRequestsWithTooManyPieces()
+    {
+        GatewayHarness harness;
+        FakeServer model;
+        FakeServer stage;
+        model.start(harness.m_loop, answerOk);
+        stage.start(harness.m_loop, answerStageCall);
+        const GatewayHarness::Process &gateway = startServing(harness, {{"i-1", "model", &model}, {"i-2", "stage", &stage}});
+        for (const char *pieces : {"4097", "1,4097", "2000000000", "9000000000000000000", "99999999999999999999999", "-1"}) {
+            const HttpHeaders headers = {{"X-Pieces", pieces}, {"X-Piece-Key", "k"}};
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(pieces, 400, ask(harness, gateway, "POST", "/chain/1", "a1", headers).m_reader.m_status);
+        }
+        CPPUNIT_ASSERT(stage.m_requests.empty());
+        CPPUNIT_ASSERT(model.m_requests.empty());
+    }
+
+    /** Reads what has come since on a socket that doesn't block, at most @p limit bytes. @return their number; 0: ended or none. */
+    static size_t readSome(int descriptor, size_t limit)
+    {
+        std::vector<char> buffer(limit);
+        const ssize_t count = recv(descriptor, buffer.data(), buffer.size(), MSG_DONTWAIT);
+        return count > 0 ? static_cast<size_t>(count) : 0;
+    }
+
+    // Guards against a shutdown that cuts off answers of which callers have not read all, when there is time left for it.
+    void slowCallersGetWholeAnswersAtShutdown()
+    {
+        constexpr size_t BodyBytes = 14 * 1024 * 1024;
+        constexpr double BytesPerSecond = 2.2e6; // less than the drain time for the whole answer
+        GatewayHarness harness;
+        FakeServer replica;
+        replica.start(harness.m_loop, [](FakeServer &, const std::shared_ptr<ReceivedRequest> &request) {
+            reply(request, formatAnswer(200, replicaHeaders(request), std::string(BodyBytes, 'x'), true));
+        });
+        const GatewayHarness::Process &gateway = startServing(harness, {{"i-1", "plain", &replica}});
+        const SocketAddress front = *parseSocketAddress(gateway.m_front);
+        const int descriptor = socket(AF_INET, SOCK_STREAM, 0);
+        sockaddr_in address{};
+        uv_ip4_addr(front.m_host.c_str(), front.m_port, &address);
+        CPPUNIT_ASSERT_EQUAL(0, ::connect(descriptor, reinterpret_cast<const sockaddr *>(&address), sizeof address));
+        const std::string request =
+            formatRequest("POST", "/plain/1", {{"Host", "h.example"}, {"X-Attempt-Id", "a1"}, {"X-Deadline-Ms", "9000"}}, "body");
+        CPPUNIT_ASSERT_EQUAL(static_cast<ssize_t>(request.size()), ::send(descriptor, request.data(), request.size(), 0));
+        harness.runUntil("answer of the replica", [&] { return !replica.m_requests.empty(); });
+        harness.runFor(milliseconds(500)); // the gateway has the whole answer
+        kill(gateway.m_pid, SIGTERM);
+        const TimePoint start = now(harness.m_clock);
+        size_t received = 0;
+        harness.runUntil("whole answer", [&] {
+            const double elapsed = std::chrono::duration<double>(now(harness.m_clock) - start).count();
+            const auto due = static_cast<size_t>(elapsed * BytesPerSecond);
+            received += due > received ? readSome(descriptor, due - received) : 0;
+            return received >= BodyBytes || elapsed > 9;
+        });
+        ::close(descriptor);
+        CPPUNIT_ASSERT_MESSAGE(fmt::format("{} bytes received", received), received >= BodyBytes);
+    }
+
     // Guards against retries beyond the budget of the service when replicas find that stage results are gone.
     void missingStageResultsAreRetriedWithinTheBudget()
     {
