--- a/src/core.h
+++ b/src/core.h
@@ -183,6 +183,7 @@
     UpstreamOverloaded,
     UpstreamError,
     UpstreamLeaving,
+    UpstreamEvacuated,
     StreamTruncated,
     InvalidAnswer,
     RetryBudgetExhausted,
--- a/src/gateway_attempts.cpp
+++ b/src/gateway_attempts.cpp
@@ -506,10 +506,11 @@
         if (refuseIfPaused(gateway, exchange, gatewayNow(gateway))) {
             return;
         }
+        const Reason reason = isServiceEvacuated(gateway.m_registry, exchange.m_service) ? Reason::UpstreamEvacuated : Reason::NoUpstream;
         if (exchange.m_attempts.m_ran == 0) {
-            refuseExchange(gateway, exchange, Reason::NoUpstream);
+            refuseExchange(gateway, exchange, reason);
         } else {
-            failExchange(gateway, exchange, HTTP_STATUS_BAD_GATEWAY, Reason::NoUpstream);
+            failExchange(gateway, exchange, HTTP_STATUS_BAD_GATEWAY, reason);
         }
         return;
     }
--- a/src/gateway_internal.h
+++ b/src/gateway_internal.h
@@ -395,10 +395,10 @@
 
 struct StoreConnection;
 
-enum class StoreRange : uint8_t { Configuration, Members, Registrations };
+enum class StoreRange : uint8_t { Operator, Members, Registrations };
 
 /** The keys that gateways read, in the order in which they are listed. */
-constexpr std::array<StoreRange, 3> StoreRanges = {StoreRange::Configuration, StoreRange::Registrations, StoreRange::Members};
+constexpr std::array<StoreRange, 3> StoreRanges = {StoreRange::Operator, StoreRange::Registrations, StoreRange::Members};
 
 /**
  * The listings of all ranges and the watch that follows them. There is one watch on all keys, so that its revision can be compared
@@ -448,6 +448,12 @@
 void handleRevision(Gateway &gateway, int64_t revision);
 /** Reads the changes of configuration, members and registrations at once, and holds new requests until the store has answered. */
 void refreshStore(Gateway &gateway);
+/** Applies the writing or removal of an operator's request to evacuate a failure domain. */
+void applyEvacuation(Gateway &gateway, const Platform::StoreItem &item);
+/** Replaces the evacuations by those in a complete listing of what operators have written. */
+void replaceEvacuations(Gateway &gateway, const std::vector<Platform::StoreItem> &items);
+/** Logs and counts the evacuation of a failure domain that has no registered replica; it applies to replicas that register later. */
+void reportUnknownEvacuation(Gateway &gateway, const std::string &failureDomain);
 /** Whether configuration, members and registrations have each been listed since the start. */
 bool isListed(const Gateway &gateway);
 /** Removes this gateway from the membership. */
--- a/src/gateway_requests.cpp
+++ b/src/gateway_requests.cpp
@@ -184,6 +184,18 @@
     return true;
 }
 
+/** Whether a service that the request needs has all its replicas in evacuated failure domains. */
+bool needsEvacuatedService(const Gateway &gateway, const Exchange &exchange)
+{
+    if (gateway.m_registry.m_evacuatedDomains.empty()) {
+        return false;
+    }
+    const std::vector<size_t> stages = stagesWithPieces(exchange.m_plan);
+    return isServiceEvacuated(gateway.m_registry, exchange.m_service) || std::any_of(stages.begin(), stages.end(), [&](size_t stage) {
+               return isServiceEvacuated(gateway.m_registry, exchange.m_route->m_stages[stage].m_service);
+           });
+}
+
 void beginExchange(Gateway &gateway, Exchange &exchange)
 {
     if (!admit(gateway, exchange)) {
@@ -195,6 +207,10 @@
     if (rejectRefused(gateway, exchange) || refuseIfPaused(gateway, exchange, exchange.m_firstEventDeadline)) {
         return;
     }
+    if (needsEvacuatedService(gateway, exchange)) {
+        refuseExchange(gateway, exchange, Reason::UpstreamEvacuated);
+        return;
+    }
     startDeadlineTimer(gateway, exchange, exchange.m_firstEventDeadline);
     beginStages(gateway, exchange);
 }
--- a/src/gateway_run.cpp
+++ b/src/gateway_run.cpp
@@ -79,6 +79,13 @@
              "medlarramp_store_revision",
              "Newest revision of the key-value store that is known",
              static_cast<double>(gateway.m_store.m_watch.m_revision));
+    auto &evacuated = prometheus::BuildGauge()
+                          .Name("medlarramp_evacuated")
+                          .Help("1 for each failure domain that operators have asked to evacuate")
+                          .Register(registry);
+    for (const std::string &failureDomain : gateway.m_registry.m_evacuatedDomains) {
+        evacuated.Add({{"failure_domain", failureDomain}}).Set(1);
+    }
     auto &waiting = prometheus::BuildGauge().Name("medlarramp_queued_tasks").Help("Stage tasks in owned queues").Register(registry);
     for (const auto &[service, owned] : gateway.m_queues) {
         waiting.Add({{"service", service}}).Set(static_cast<double>(owned->m_queue.m_tasks.size()));
--- a/src/gateway_stages.cpp
+++ b/src/gateway_stages.cpp
@@ -413,7 +413,8 @@
     for (const auto &[replica, handles] : releases) {
         const auto upstream = gateway.m_upstreams.find(replica);
         const bool isPaused = gatewayNow(gateway) < pausedUntil(gateway.m_registry, replica);
-        if (upstream == gateway.m_upstreams.end() || !upstream->second.m_registered || isPaused) {
+        const bool isSilenced = isPaused || isEvacuated(gateway.m_registry, replica);
+        if (upstream == gateway.m_upstreams.end() || !upstream->second.m_registered || isSilenced) {
             continue; // the results expire
         }
         const HttpHeaders headers = {{"Host", upstream->second.m_record.m_address},
--- a/src/gateway_store.cpp
+++ b/src/gateway_store.cpp
@@ -389,6 +389,9 @@
         if (item.m_key == Platform::ConfigurationKey && !item.m_removed) {
             applyConfiguration(gateway, item);
             replicasChanged = true;
+        } else if (startsWith(item.m_key, Platform::EvacuationPrefix)) {
+            applyEvacuation(gateway, item);
+            replicasChanged = true;
         } else if (startsWith(item.m_key, Platform::MemberPrefix)) {
             applyMember(gateway, item);
             membersChanged = true;
@@ -438,13 +441,14 @@
 void applyListing(Gateway &gateway, StoreRange range, const std::vector<Platform::StoreItem> &items)
 {
     switch (range) {
-    case StoreRange::Configuration:
+    case StoreRange::Operator:
+        replaceEvacuations(gateway, items);
         for (const Platform::StoreItem &item : items) {
             if (item.m_key == Platform::ConfigurationKey) {
                 applyConfiguration(gateway, item);
-                syncUpstreams(gateway);
             }
         }
+        syncUpstreams(gateway);
         return;
     case StoreRange::Members:
         gateway.m_store.m_members.clear();
@@ -466,8 +470,8 @@
 std::string_view prefixOf(StoreRange range)
 {
     switch (range) {
-    case StoreRange::Configuration:
-        return Platform::ConfigurationKey;
+    case StoreRange::Operator:
+        return Platform::OperatorPrefix;
     case StoreRange::Members:
         return Platform::MemberPrefix;
     case StoreRange::Registrations:
@@ -506,6 +510,9 @@
     }
     watch.m_isListed = true;
     watch.m_wasListed = true;
+    for (const std::string &failureDomain : gateway.m_registry.m_evacuatedDomains) {
+        reportUnknownEvacuation(gateway, failureDomain);
+    }
     watch.m_isProven = false;
     // Pages and listings may differ in revision, so the watch starts at that of the first page.
     watch.m_revision = watch.m_listRevision;
--- a/src/gateway_upstreams.cpp
+++ b/src/gateway_upstreams.cpp
@@ -168,7 +168,9 @@
 bool isWriteAllowed(const Gateway &gateway, const UpstreamCall &call)
 {
     const bool isPaused = gatewayNow(gateway) < pausedUntil(gateway.m_registry, call.m_replica);
-    return !isPaused && (!call.m_isWork || acceptsWork(gateway.m_registry, call.m_replica));
+    const bool isAllowed =
+        call.m_isWork ? acceptsWork(gateway.m_registry, call.m_replica) : !isEvacuated(gateway.m_registry, call.m_replica);
+    return !isPaused && isAllowed;
 }
 
 /** @return false when the callback has cancelled the call and the connection is closed. */
--- a/src/serving.h
+++ b/src/serving.h
@@ -23,6 +23,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -226,6 +227,7 @@
 struct Registry {
     std::map<std::string, RegisteredReplica> m_replicas; ///< by id
     std::map<std::string, ReplicaNotice> m_notices; ///< by id of the replica
+    std::set<std::string> m_evacuatedDomains; ///< failure domains whose replicas get nothing, as the operator asked
     std::optional<TimePoint> m_storeUnavailableSince; ///< start of the first failed call since the last successful one
     TimePoint m_lastFailureAt; ///< start of the last failed call: the store was out of reach then
     std::optional<TimePoint> m_storeRecoveredAt; ///< m_lastFailureAt of the last outage: the earliest time of its end
@@ -253,14 +255,21 @@
 TimePoint pausedUntil(const Registry &registry, const std::string &id);
 /** When the first of @p ids ends its pause; nothing when one of them is not paused or there are none. */
 std::optional<TimePoint> firstResume(const Registry &registry, const std::vector<std::string> &ids, TimePoint now);
-/** Whether a replica may get new work: it is registered and neither the registration nor the replica itself says that it leaves. */
+/** Whether the failure domain of a registered replica is evacuated: nothing at all is sent to it, and what runs there goes on. */
+bool isEvacuated(const Registry &registry, const std::string &id);
+/** Whether a service has replicas, but gets no work done because the failure domains of all that would accept it are evacuated. */
+bool isServiceEvacuated(const Registry &registry, const std::string &service);
+/**
+ * Whether a replica may get new work: it is registered, neither the registration nor the replica itself says that it leaves, and
+ * its failure domain is not evacuated.
+ */
 bool acceptsWork(const Registry &registry, const std::string &id);
 /**
  * Ids of the replicas that get work, by service. Those with a missing registration only while fewer replicas are registered than
  * missing: then the store has lost registrations, otherwise these replicas have left.
  */
 std::map<std::string, std::vector<std::string>> usableReplicas(const Registry &registry);
-/** "ready", "draining", "missing" (see usableReplicas()) or "unknown", for the log. */
+/** "ready", "draining", "evacuated", "missing" (see usableReplicas()) or "unknown", for the log. */
 std::string_view describeReplica(const Registry &registry, const std::string &id);
 
 //-----------------------------------------------------------------------------
--- a/src/serving_registry.cpp
+++ b/src/serving_registry.cpp
@@ -42,6 +42,14 @@
     return &notice;
 }
 
+/** Whether the registration or the replica itself says that it leaves. */
+bool isLeaving(const Registry &registry, const ReplicaRecord &record)
+{
+    const auto notice = registry.m_notices.find(record.m_id);
+    const bool applies = notice != registry.m_notices.end() && notice->second.m_incarnationStart == record.m_incarnationStart;
+    return record.m_draining || (applies && notice->second.m_leaving);
+}
+
 } // namespace
 
 //-----------------------------------------------------------------------------
@@ -122,16 +130,31 @@
     return next;
 }
 
-bool acceptsWork(const Registry &registry, const std::string &id)
+bool isEvacuated(const Registry &registry, const std::string &id)
 {
     const auto replica = registry.m_replicas.find(id);
-    if (replica == registry.m_replicas.end() || replica->second.m_record.m_draining) {
-        return false;
+    return replica != registry.m_replicas.end() && registry.m_evacuatedDomains.contains(replica->second.m_record.m_failureDomain);
+}
+
+bool isServiceEvacuated(const Registry &registry, const std::string &service)
+{
+    bool evacuated = false;
+    for (const auto &[id, replica] : registry.m_replicas) {
+        if (replica.m_record.m_service != service || isLeaving(registry, replica.m_record)) {
+            continue;
+        }
+        if (!isEvacuated(registry, id)) {
+            return false;
+        }
+        evacuated = true;
     }
-    const auto notice = registry.m_notices.find(id);
-    const bool applies =
-        notice != registry.m_notices.end() && notice->second.m_incarnationStart == replica->second.m_record.m_incarnationStart;
-    return !applies || !notice->second.m_leaving;
+    return evacuated;
+}
+
+bool acceptsWork(const Registry &registry, const std::string &id)
+{
+    const auto replica = registry.m_replicas.find(id);
+    return replica != registry.m_replicas.end() && !isLeaving(registry, replica->second.m_record) && !isEvacuated(registry, id);
 }
 
 void observePause(Registry &registry, const std::string &id, TimePoint until)
@@ -196,6 +219,9 @@
     if (replica->second.m_removeAt) {
         return "missing";
     }
+    if (isEvacuated(registry, id)) {
+        return "evacuated";
+    }
     return acceptsWork(registry, id) ? "ready" : "draining";
 }
 
--- a/tests/gateway_world.h
+++ b/tests/gateway_world.h
@@ -159,6 +159,7 @@
 struct FakeStore {
     FakeServer m_server;
     std::map<std::string, std::pair<std::string, int64_t>> m_items; ///< value and revision by key
+    std::map<std::string, int64_t> m_removed; ///< revision of the removal by key
     int64_t m_revision = 1;
     bool m_isSilent = false; ///< no call is answered
     bool m_isHistoryGone = false; ///< the next watch is answered with 410
@@ -175,6 +176,19 @@
     void put(const std::string &key, const std::string &value)
     {
         m_items[key] = {value, ++m_revision};
+        m_removed.erase(key);
+        notifyWatches();
+    }
+
+    void remove(const std::string &key)
+    {
+        m_items.erase(key);
+        m_removed[key] = ++m_revision;
+        notifyWatches();
+    }
+
+    void notifyWatches()
+    {
         const auto watches = std::exchange(m_watches, {});
         const std::optional<size_t> lost = std::exchange(m_lostWatch, std::nullopt);
         for (size_t i = 0; i < watches.size(); ++i) {
@@ -189,12 +203,13 @@
                     const std::string &service,
                     const std::string &address,
                     const std::string &state = "ready",
-                    int64_t born = 1)
+                    int64_t born = 1,
+                    const std::string &failureDomain = "z1")
     {
         put("servers/" + id,
             nlohmann::json{{"service", service},
                            {"address", address},
-                           {"zone", "z1"},
+                           {"zone", failureDomain},
                            {"version", "v1"},
                            {"slots", 8},
                            {"state", state},
@@ -234,7 +249,12 @@
 
     void answerWatch(const std::shared_ptr<ReceivedRequest> &request, int64_t after)
     {
-        const nlohmann::json events = itemsAfter(after, parameter(request->m_request.m_target, "prefix"));
+        nlohmann::json events = itemsAfter(after, parameter(request->m_request.m_target, "prefix"));
+        for (const auto &[key, revision] : m_removed) {
+            if (revision > after) {
+                events.push_back({{"key", key}, {"revision", revision}, {"tombstone", true}});
+            }
+        }
         if (!events.empty()) {
             send(request, {{"events", events}, {"as_of", m_revision}});
             return;
