Let a few gateways watch the key-value store for the others

From 32 members on, the square root of them watch and pass each answer on; a gateway that gets none in time watches itself.

--- a/src/gateway_internal.h
+++ b/src/gateway_internal.h
@@ -303,9 +303,25 @@
     Cleared,
     Refused,
     Revision,
+    Subscribe,
+    Relay,
     Count
 };
 
+/** A changed item of the key-value store in a relayed answer. */
+struct RelayedItem {
+    std::string m_key;
+    std::string m_value;
+    int64_t m_revision = 0;
+    bool m_removed = false;
+
+    template<typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(m_key, m_value, m_revision, m_removed);
+    }
+};
+
 /** One message between gateways. Fields that a kind doesn't use stay empty. */
 struct PeerMessage {
     PeerKind m_kind = PeerKind::Ping;
@@ -328,7 +344,10 @@
     std::vector<uint64_t> m_requests; ///< crash, cleared and refused: digests of requests
     std::vector<uint64_t> m_parts; ///< crash, cleared and refused: ids of prompt parts
     std::vector<uint64_t> m_answeredParts; ///< crash: those of m_parts that replicas have answered before
-    int64_t m_revision = 0; ///< revision: the newest revision of the key-value store that the sender has seen
+    int64_t m_revision = 0; ///< revision: the newest revision of the key-value store that the sender has seen; relay: of the answer
+    int64_t m_fromRevision = 0; ///< relay: revision that the watch call continued after
+    bool m_isIncomplete = false; ///< relay: the changes were too large to be passed on
+    std::vector<RelayedItem> m_items; ///< relay: the changes
 
     template<typename Archive>
     void serialize(Archive &archive)
@@ -353,7 +372,10 @@
                 m_requests,
                 m_parts,
                 m_answeredParts,
-                m_revision);
+                m_revision,
+                m_fromRevision,
+                m_isIncomplete,
+                m_items);
     }
 };
 
@@ -446,6 +468,19 @@
 void gossipRevision(Gateway &gateway);
 /** Another gateway has seen @p revision: starts the watch again unless it gets there soon. */
 void handleRevision(Gateway &gateway, int64_t revision);
+/** Answers of the watch, from this gateway's own call or relayed. @p age of the knowledge that the events replace. */
+void applyEvents(Gateway &gateway, const Platform::StoreItems &events, Duration age);
+/** Starts an own watch call unless one is open or the store is not listed yet. */
+void watchNow(Gateway &gateway);
+/** Time without a relayed answer after which a gateway watches the store itself. */
+Duration relayTimeout(const Gateway &gateway);
+/** Whether relayed answers show that all changes are known, so that no watch call is needed. */
+bool isFollowing(const Gateway &gateway);
+/** Passes an answer to the own watch call from revision @p from on to the subscribers. */
+void relayAnswer(Gateway &gateway, int64_t from, const Platform::StoreItems &events);
+void handleRelay(Gateway &gateway, const PeerMessage &message);
+/** Subscribes to the gateways that watch for this one, or renews the subscriptions. */
+void renewSubscriptions(Gateway &gateway);
 /** Reads the changes of configuration, members and registrations at once, and holds new requests until the store has answered. */
 void refreshStore(Gateway &gateway);
 /** Applies the writing or removal of an operator's request to evacuate a failure domain. */
@@ -479,6 +514,7 @@
     std::map<std::string, RetryBudget> m_retryBudgets; ///< by service
     std::map<std::string, SizeMean> m_sizes; ///< by route
     StoreClient m_store;
+    RelayState m_relay;
 
     NetListener m_frontListener;
     NetListener m_readyListener;
@@ -514,6 +550,7 @@
     std::array<uint64_t, static_cast<size_t>(Reason::Count)> m_refusals{};
     std::array<uint64_t, static_cast<size_t>(Reason::Count)> m_retries{}; ///< by reason
     uint64_t m_answered = 0; ///< forwarded answers of replicas
+    uint64_t m_watchCalls = 0; ///< watch calls to the key-value store
     uint64_t m_invalidItems = 0; ///< items of the key-value store that were left out
 };
 
--- a/src/gateway_peers.cpp
+++ b/src/gateway_peers.cpp
@@ -179,6 +179,14 @@
     case PeerKind::Revision:
         handleRevision(gateway, message.m_revision);
         return;
+    case PeerKind::Subscribe:
+        if (!link.m_node.empty() && !addSubscriber(gateway.m_relay, link.m_node, gatewayNow(gateway))) {
+            writeLog(LogLevel::Warning, "peers", "Too many subscribers to the watch.", {{"node", link.m_node}});
+        }
+        return;
+    case PeerKind::Relay:
+        handleRelay(gateway, message);
+        return;
     case PeerKind::Pong:
     case PeerKind::Count:
         return;
--- /dev/null
+++ b/src/gateway_relay.cpp
@@ -0,0 +1,119 @@
+#include <algorithm>
+
+#include <fmt/format.h>
+
+#include "gateway_internal.h"
+
+namespace Medlarramp::Serving {
+
+namespace {
+
+/** Larger changes are read from the store by each gateway: passed on to dozens, they would fill the link of a VM. */
+constexpr size_t MaxRelayedBytes = 64 * 1024;
+/** Longest wait of a watch call at a gateway that others follow, and what a call may take beyond it. */
+constexpr Duration RelayedWatchWait = milliseconds(1000);
+constexpr Duration RelaySlackTime = milliseconds(250);
+
+size_t sizeOf(const Platform::StoreItems &events)
+{
+    size_t bytes = 0;
+    for (const Platform::StoreItem &item : events.m_items) {
+        bytes += item.m_key.size() + item.m_value.size();
+    }
+    return bytes;
+}
+
+PeerMessage makeRelay(int64_t from, const Platform::StoreItems &events)
+{
+    PeerMessage message;
+    message.m_kind = PeerKind::Relay;
+    message.m_fromRevision = from;
+    message.m_revision = events.m_asOf;
+    message.m_isIncomplete = sizeOf(events) > MaxRelayedBytes;
+    if (!message.m_isIncomplete) {
+        for (const Platform::StoreItem &item : events.m_items) {
+            message.m_items.push_back({item.m_key, item.m_value, item.m_revision, item.m_removed});
+        }
+    }
+    return message;
+}
+
+/** The changes of a relayed answer that are not known yet: another source may have told of some of them. */
+Platform::StoreItems unknownChanges(const PeerMessage &message, int64_t known)
+{
+    Platform::StoreItems events;
+    events.m_asOf = message.m_revision;
+    for (const RelayedItem &item : message.m_items) {
+        if (item.m_revision > known) {
+            events.m_items.push_back({item.m_key, item.m_value, item.m_revision, item.m_removed});
+        }
+    }
+    return events;
+}
+
+} // namespace
+
+Duration relayTimeout(const Gateway &gateway)
+{
+    return gateway.m_store.m_watch.m_interval + RelayedWatchWait + RelaySlackTime;
+}
+
+bool isFollowing(const Gateway &gateway)
+{
+    const StoreWatch &watch = gateway.m_store.m_watch;
+    const TimePoint now = gatewayNow(gateway);
+    const bool isWatcher = !gateway.m_relay.m_subscribers.empty() || relaySources(gateway.m_membership, now).empty();
+    const TimePoint since = std::min(gateway.m_relay.m_receivedAt, gateway.m_relay.m_currentAt);
+    return watch.m_isListed && watch.m_isCurrent && !isWatcher && now - since < relayTimeout(gateway);
+}
+
+void relayAnswer(Gateway &gateway, int64_t from, const Platform::StoreItems &events)
+{
+    const std::vector<std::string> subscribers = currentSubscribers(gateway.m_relay, gatewayNow(gateway));
+    if (subscribers.empty()) {
+        return;
+    }
+    const PeerMessage message = makeRelay(from, events);
+    for (const std::string &node : subscribers) {
+        sendToPeer(gateway, node, message);
+    }
+}
+
+void handleRelay(Gateway &gateway, const PeerMessage &message)
+{
+    StoreWatch &watch = gateway.m_store.m_watch;
+    const RelayStep step = decideRelay(watch.m_revision, message.m_fromRevision, message.m_revision);
+    if (!watch.m_isListed || step == RelayStep::Ignore) {
+        return;
+    }
+    gateway.m_relay.m_receivedAt = gatewayNow(gateway);
+    const bool isMissing = message.m_isIncomplete && message.m_revision > watch.m_revision;
+    if (step == RelayStep::Read || isMissing) {
+        gateway.m_relay.m_currentAt = TimePoint();
+        watchNow(gateway);
+        return;
+    }
+    const Duration age = watchAge(gateway);
+    const Platform::StoreItems events = unknownChanges(message, watch.m_revision);
+    watch.m_revision = message.m_revision;
+    watch.m_answeredAt = gatewayNow(gateway);
+    gateway.m_relay.m_currentAt = watch.m_answeredAt;
+    applyEvents(gateway, events, age);
+}
+
+void renewSubscriptions(Gateway &gateway)
+{
+    RelayState &relay = gateway.m_relay;
+    const TimePoint now = gatewayNow(gateway);
+    if (now - relay.m_subscribedAt < SubscriptionRenewal || gateway.m_draining || !isListed(gateway)) {
+        return;
+    }
+    relay.m_subscribedAt = now;
+    PeerMessage message;
+    message.m_kind = PeerKind::Subscribe;
+    for (const std::string &node : relaySources(gateway.m_membership, now)) {
+        sendToPeer(gateway, node, message);
+    }
+}
+
+} // namespace Medlarramp::Serving
--- a/src/gateway_run.cpp
+++ b/src/gateway_run.cpp
@@ -79,6 +79,15 @@
              "medlarramp_store_revision",
              "Newest revision of the key-value store that is known",
              static_cast<double>(gateway.m_store.m_watch.m_revision));
+    addGauge(registry,
+             "medlarramp_relay_subscribers",
+             "Gateways that get the answers of this gateway's watch",
+             static_cast<double>(gateway.m_relay.m_subscribers.size()));
+    addGauge(registry,
+             "medlarramp_relay_following",
+             "1 while relayed answers of other gateways replace own watch calls",
+             gateway.m_relay.m_isFollowing ? 1 : 0);
+    addGauge(registry, "medlarramp_watch_calls", "Watch calls to the key-value store", static_cast<double>(gateway.m_watchCalls));
     auto &evacuated = prometheus::BuildGauge()
                           .Name("medlarramp_evacuated")
                           .Help("1 for each failure domain that operators have asked to evacuate")
@@ -220,6 +229,7 @@
     checkPeers(gateway);
     gossipRefusals(gateway);
     gossipRevision(gateway);
+    renewSubscriptions(gateway);
     closeIdleUpstreams(gateway);
     if (gateway.m_draining) {
         continueDrain(gateway);
--- a/src/gateway_store.cpp
+++ b/src/gateway_store.cpp
@@ -379,7 +379,8 @@
     }
 }
 
-/** @param age of the knowledge that the events replace */
+} // namespace
+
 void applyEvents(Gateway &gateway, const Platform::StoreItems &events, Duration age)
 {
     const TimePoint now = gatewayNow(gateway);
@@ -418,6 +419,8 @@
     }
 }
 
+namespace {
+
 void applyRegistrationListing(Gateway &gateway, const std::vector<Platform::StoreItem> &items)
 {
     std::vector<ReplicaRecord> records;
@@ -571,12 +574,17 @@
         status == HTTP_STATUS_OK ? Platform::decodeItems(body) : absl::UnavailableError("no answer");
     if (events.ok()) {
         const Duration age = watchAge(gateway);
+        const int64_t from = watch.m_revision;
         recordWatchAnswer(gateway);
         countUnreadable(gateway, *events);
+        // A relayed answer may have told of newer changes while this call was open.
+        std::erase_if(events->m_items, [from](const Platform::StoreItem &item) { return item.m_revision != 0 && item.m_revision <= from; });
         watch.m_revision = std::max(watch.m_revision, events->m_asOf);
+        gateway.m_relay.m_currentAt = gatewayNow(gateway);
         const bool wasCurrent = watch.m_isCurrent;
         watch.m_isProven = wasCurrent && events->m_items.empty();
         applyEvents(gateway, *events, age);
+        relayAnswer(gateway, from, *events);
         confirm(gateway);
         watch.m_timer.start(gateway.m_loop, pauseBeforeCall(gateway, wasCurrent), [&gateway] { callWatch(gateway); });
         return;
@@ -619,10 +627,30 @@
     return others.size() < Sentinels || hash64(gateway.m_settings.m_node) < hash64(others[Sentinels - 1]);
 }
 
+/** Watches again when relayed answers no longer come. */
+void awaitRelay(Gateway &gateway)
+{
+    StoreWatch &watch = gateway.m_store.m_watch;
+    const TimePoint since = std::min(gateway.m_relay.m_receivedAt, gateway.m_relay.m_currentAt);
+    const Duration left = since + relayTimeout(gateway) - gatewayNow(gateway);
+    watch.m_timer.start(gateway.m_loop, left, [&gateway] { callWatch(gateway); });
+}
+
 void callWatch(Gateway &gateway)
 {
     StoreWatch &watch = gateway.m_store.m_watch;
-    const bool isLong = watch.m_isCurrent && watch.m_isProven && !isSentinel(gateway);
+    const bool wasFollowing = std::exchange(gateway.m_relay.m_isFollowing, isFollowing(gateway));
+    if (wasFollowing != gateway.m_relay.m_isFollowing) {
+        writeLog(LogLevel::Info,
+                 "store",
+                 wasFollowing ? "Relayed answers no longer come; watching the key-value store." : "Following the watch of another gateway.",
+                 {{"revision", fmt::format("{}", watch.m_revision)}});
+    }
+    if (gateway.m_relay.m_isFollowing) {
+        awaitRelay(gateway);
+        return;
+    }
+    const bool isLong = watch.m_isCurrent && watch.m_isProven && !isSentinel(gateway) && gateway.m_relay.m_subscribers.empty();
     const Duration wait = !watch.m_isCurrent ? ConfirmingWatchWait : isLong ? LongWatchWait : ShortWatchWait;
     const Duration margin = isLong ? LongWatchMargin : ShortWatchMargin;
     writeLog(watch.m_isInterrupted ? LogLevel::Info : LogLevel::Debug,
@@ -631,6 +659,7 @@
              {{"revision", fmt::format("{}", watch.m_revision)},
               {"connection", watch.m_connection->m_net == nullptr ? "new" : "kept"},
               {"wait_ms", fmt::format("{}", wait.count() / 1000)}});
+    gateway.m_watchCalls += 1;
     // All keys have the empty prefix.
     const std::string target = Platform::formatWatchTarget("", watch.m_revision, wait);
     callStore(gateway, *watch.m_connection, "GET", target, "", wait + margin, [&gateway](int status, const std::string &body) {
@@ -778,9 +807,11 @@
     }
     watch.m_behindTimer.start(gateway.m_loop, watch.m_interval + RevisionSlack, [&gateway, revision] {
         StoreWatch &behind = gateway.m_store.m_watch;
-        if (behind.m_revision >= revision || !behind.m_isListed || behind.m_isParked || !behind.m_connection->m_busy) {
+        const bool isCalling = behind.m_connection->m_busy || gateway.m_relay.m_isFollowing;
+        if (behind.m_revision >= revision || !behind.m_isListed || behind.m_isParked || !isCalling) {
             return; // up to date, or about to be
         }
+        gateway.m_relay.m_currentAt = TimePoint();
         writeLog(LogLevel::Warning,
                  "store",
                  "Watch misses changes that another gateway has seen; starting it again.",
@@ -791,6 +822,14 @@
     });
 }
 
+void watchNow(Gateway &gateway)
+{
+    const StoreWatch &watch = gateway.m_store.m_watch;
+    if (watch.m_isListed && !watch.m_isParked && !watch.m_connection->m_busy) {
+        callWatch(gateway);
+    }
+}
+
 void refreshStore(Gateway &gateway)
 {
     gateway.m_isUnconfirmed = true;
--- a/src/serving.h
+++ b/src/serving.h
@@ -8,6 +8,7 @@
  *  [SECTION] Configuration  one version of routes, services, organisations and limits
  *  [SECTION] Registry       the registered replicas, from the events of the key-value store
  *  [SECTION] Membership     the live gateways and the owner of each service's queue
+ *  [SECTION] Relays         answers of the watch that a few gateways pass on to the others
  *  [SECTION] Plan           the stages of one request and which of them can be submitted
  *  [SECTION] Stage queue    batching of pieces for the replicas of a stage service
  *  [SECTION] Start          whether a request is refused on arrival
@@ -298,6 +299,12 @@
 
 void replaceMembers(Membership &membership, std::vector<Member> members, TimePoint now);
 void suspectMember(Membership &membership, const std::string &node, TimePoint now);
+bool isSuspected(const Membership &membership, const std::string &node, TimePoint now);
+/**
+ * Score of weighted rendezvous hashing (logarithmic method by Mosharaf Chowdhury): the probability of the highest score is
+ * proportional to @p weight.
+ */
+double rendezvousScore(std::string_view node, std::string_view subject, double weight);
 constexpr double MinOwnerWeightShare = 0.5; ///< owners have at least this share of the largest weight among the members
 /**
  * The owner of the queue of @p service, by weighted rendezvous hashing over the members that are not suspected. Members on
@@ -307,6 +314,54 @@
 /** The largest number of members within MemberCountWindow, at least 1: shares of a common limit stay low while gateways restart. */
 size_t memberCount(Membership &membership, TimePoint now);
 
+//-----------------------------------------------------------------------------
+// [SECTION] Relays
+//-----------------------------------------------------------------------------
+
+/**
+ * Every call to the key-value store is billed, a waiting watch as one, so that 90 gateways that each watch make 45 to 90 calls a
+ * second. From MinRelayMembers on, a few gateways watch and pass their answers on; the number of calls grows with the square root of
+ * the fleet. A gateway that gets no answers in time watches the store itself.
+ */
+struct RelayState {
+    TimePoint m_receivedAt; ///< last relayed answer that was not older than what was known
+    TimePoint m_currentAt; ///< last answer, relayed or to an own call, that left no gap behind what was known
+    bool m_isFollowing = false; ///< relayed answers take the place of own watch calls
+    TimePoint m_subscribedAt; ///< last renewal of this gateway's own subscriptions
+    std::map<std::string, TimePoint> m_subscribers; ///< end of the subscription, by node
+};
+
+constexpr size_t MinRelayMembers = 32; ///< smaller fleets watch on their own: their calls cost less than the delay of a relay
+constexpr size_t RelaySources = 2; ///< gateways that one gateway subscribes to, so that the loss of one is not noticed
+constexpr Duration SubscriptionTime = seconds(4);
+constexpr Duration SubscriptionRenewal = seconds(1);
+constexpr size_t MaxSubscribers = 256; ///< of one gateway; further subscribers find out that they get nothing
+
+constexpr size_t MinRelayWatchers = 4; ///< with fewer large VMs than this, small ones watch as well
+/**
+ * The gateways that watch for others, by weighted rendezvous hashing: the square root of the members at most; none in small fleets.
+ * Those on much smaller VMs than others are left out, as a configuration that is passed on would fill their links.
+ */
+std::vector<std::string> relayWatchers(const Membership &membership, TimePoint now);
+/** The gateways that this one subscribes to; none when it watches itself. */
+std::vector<std::string> relaySources(const Membership &membership, TimePoint now);
+/** @return whether the subscription was accepted */
+bool addSubscriber(RelayState &state, const std::string &node, TimePoint now);
+/** Removes subscriptions that were not renewed. @return the nodes that get the next answer */
+std::vector<std::string> currentSubscribers(RelayState &state, TimePoint now);
+
+enum class RelayStep : uint8_t {
+    Apply, ///< it continues what is known
+    Ignore, ///< it is older than what is known
+    Read, ///< changes between what is known and this answer are missing: they have to be read from the store
+};
+
+/**
+ * What to do with a relayed answer to a watch from revision @p from that stands for the store as of revision @p asOf, when all changes
+ * up to @p known are known.
+ */
+RelayStep decideRelay(int64_t known, int64_t from, int64_t asOf);
+
 //-----------------------------------------------------------------------------
 // [SECTION] Plan
 //-----------------------------------------------------------------------------
--- a/src/serving_registry.cpp
+++ b/src/serving_registry.cpp
@@ -9,21 +9,6 @@
 
 namespace {
 
-/** Score of weighted rendezvous hashing (logarithmic method by Mosharaf Chowdhury): the probability of the highest score is proportional to
- * @p weight. */
-double rendezvousScore(std::string_view node, std::string_view subject, double weight)
-{
-    const uint64_t hash = combineHash(hash64(node), hash64(subject));
-    const double uniform = (static_cast<double>(hash >> 11) + 0.5) / static_cast<double>(uint64_t{1} << 53);
-    return -weight / std::log(uniform);
-}
-
-bool isSuspected(const Membership &membership, const std::string &node, TimePoint now)
-{
-    const auto suspicion = membership.m_suspectedUntil.find(node);
-    return suspicion != membership.m_suspectedUntil.end() && now < suspicion->second;
-}
-
 /** The notice of the registered incarnation of a replica; null when it is not registered. */
 ReplicaNotice *findNotice(Registry &registry, const std::string &id)
 {
@@ -229,6 +214,19 @@
 // Membership
 //-----------------------------------------------------------------------------
 
+double rendezvousScore(std::string_view node, std::string_view subject, double weight)
+{
+    const uint64_t hash = combineHash(hash64(node), hash64(subject));
+    const double uniform = (static_cast<double>(hash >> 11) + 0.5) / static_cast<double>(uint64_t{1} << 53);
+    return -weight / std::log(uniform);
+}
+
+bool isSuspected(const Membership &membership, const std::string &node, TimePoint now)
+{
+    const auto suspicion = membership.m_suspectedUntil.find(node);
+    return suspicion != membership.m_suspectedUntil.end() && now < suspicion->second;
+}
+
 void replaceMembers(Membership &membership, std::vector<Member> members, TimePoint now)
 {
     std::map<std::string, Member> next;
--- a/tests/gateway_world.h
+++ b/tests/gateway_world.h
@@ -347,12 +347,12 @@
     };
 
     /** Starts a gateway and waits until it reports ready. */
-    Process &startGateway(const std::string &node, int drainMs = 8000)
+    Process &startGateway(const std::string &node, int drainMs = 8000, const nlohmann::json &extraSettings = nlohmann::json::object())
     {
         // Another process may bind a port between its choice and its use; the gateway then exits at once.
         constexpr int MaxStarts = 10;
         for (int start = 0; start < MaxStarts; ++start) {
-            spawnGateway(node, drainMs);
+            spawnGateway(node, drainMs, extraSettings);
             if (waitUntilReady(m_processes.back())) {
                 return m_processes.back();
             }
@@ -362,22 +362,24 @@
         return m_processes.back();
     }
 
-    void spawnGateway(const std::string &node, int drainMs)
+    void spawnGateway(const std::string &node, int drainMs, const nlohmann::json &extraSettings = nlohmann::json::object())
     {
         Process process;
         process.m_front = freeAddress();
         process.m_ready = freeAddress();
         process.m_settings = fmt::format("/tmp/medlarramp-test-{}-{}.json", getpid(), node);
-        std::ofstream(process.m_settings) << nlohmann::json{{"node", node},
-                                                            {"failure_domain", "z1"},
-                                                            {"front", process.m_front},
-                                                            {"readiness", process.m_ready},
-                                                            {"peers", freeAddress()},
-                                                            {"store", m_store.m_server.address()},
-                                                            {"drain_ms", drainMs},
-                                                            {"leaving_ms", 1500},
-                                                            {"repeat_ratio", 0.2},
-                                                            {"repeat_extra", 50}};
+        nlohmann::json settings = {{"node", node},
+                                   {"failure_domain", "z1"},
+                                   {"front", process.m_front},
+                                   {"readiness", process.m_ready},
+                                   {"peers", freeAddress()},
+                                   {"store", m_store.m_server.address()},
+                                   {"drain_ms", drainMs},
+                                   {"leaving_ms", 1500},
+                                   {"repeat_ratio", 0.2},
+                                   {"repeat_extra", 50}};
+        settings.update(extraSettings);
+        std::ofstream(process.m_settings) << settings;
         const std::string program = programPath();
         std::vector<std::string> words = {program, "gateway", "--settings", process.m_settings};
         std::vector<char *> arguments;
