Pause between connections to replicas that refuse them

A replica that refuses or resets a connection now gets the next one after a pause that grows from 20 to 500 ms, and one connection in each pause. A request goes on to another replica at once up to four times, then with a growing pause, and is refused as not run when no replica can be tried before its deadline.

--- a/src/gateway_attempts.cpp
+++ b/src/gateway_attempts.cpp
@@ -26,10 +26,11 @@
     std::vector<ReplicaView> views;
     const TimePoint now = gatewayNow(gateway);
     for (const std::string &id : gateway.m_replicasByService[exchange.m_service]) {
-        if (now < pausedUntil(gateway.m_registry, id)) {
+        const Upstream &upstream = gateway.m_upstreams.at(id);
+        const bool isReachable = !upstream.m_idle.empty() || mayConnect(upstream.m_connects, now);
+        if (now < pausedUntil(gateway.m_registry, id) || !isReachable) {
             continue;
         }
-        const Upstream &upstream = gateway.m_upstreams.at(id);
         ReplicaView view;
         view.m_id = id;
         view.m_failureDomain = upstream.m_record.m_failureDomain;
@@ -44,6 +45,20 @@
     return views;
 }
 
+/** When the first of the replicas that refused connections may be tried again; nothing when there is none. */
+std::optional<TimePoint> firstConnectAt(Gateway &gateway, const Exchange &exchange)
+{
+    std::optional<TimePoint> first;
+    const TimePoint now = gatewayNow(gateway);
+    for (const std::string &id : gateway.m_replicasByService[exchange.m_service]) {
+        const ConnectHistory &history = gateway.m_upstreams.at(id).m_connects;
+        if (!mayConnect(history, now)) {
+            first = std::min(first.value_or(history.m_nextAt), history.m_nextAt);
+        }
+    }
+    return first;
+}
+
 /** Stages whose results have not been released; the replica of the attempt reads them. */
 std::vector<size_t> unreleasedStages(const Exchange &exchange)
 {
@@ -378,7 +393,12 @@
     case NextStep::Retry:
         countReason(gateway.m_retries, reason);
         exchange.m_tried.insert(exchange.m_attempt->m_replica);
-        startAttempt(gateway, exchange);
+        if (end == AttemptEnd::NotSent) {
+            exchange.m_connectFailures += 1;
+            retryConnect(gateway, exchange, std::nullopt);
+        } else {
+            startAttempt(gateway, exchange);
+        }
         return;
     case NextStep::RefuseNotRun:
         refuseExchange(gateway, exchange, reason);
@@ -506,6 +526,10 @@
         if (refuseIfPaused(gateway, exchange, gatewayNow(gateway))) {
             return;
         }
+        if (const std::optional<TimePoint> earliest = firstConnectAt(gateway, exchange)) {
+            retryConnect(gateway, exchange, earliest);
+            return;
+        }
         const Reason reason = isServiceEvacuated(gateway.m_registry, exchange.m_service) ? Reason::UpstreamEvacuated : Reason::NoUpstream;
         if (exchange.m_attempts.m_ran == 0) {
             refuseExchange(gateway, exchange, reason);
@@ -534,6 +558,27 @@
     markEvictableAfterFetch(gateway, exchange);
 }
 
+void retryConnect(Gateway &gateway, Exchange &exchange, std::optional<TimePoint> earliest)
+{
+    const TimePoint now = gatewayNow(gateway);
+    const TimePoint deadline = exchange.m_streaming ? exchange.m_deadline : exchange.m_firstEventDeadline;
+    const std::optional<TimePoint> next = nextConnectAt(exchange.m_connectFailures, earliest, deadline, gateway.m_random, now);
+    if (!next && exchange.m_attempts.m_ran == 0) {
+        refuseExchange(gateway, exchange, Reason::ConnectFailed);
+    } else if (!next) {
+        failExchange(gateway, exchange, HTTP_STATUS_BAD_GATEWAY, Reason::ConnectFailed);
+    } else if (*next <= now) {
+        startAttempt(gateway, exchange);
+    } else {
+        const uint64_t number = exchange.m_number;
+        exchange.m_connectTimer.start(gateway.m_loop, *next - now, [&gateway, number] {
+            if (Exchange *waiting = findExchange(gateway, number)) {
+                startAttempt(gateway, *waiting);
+            }
+        });
+    }
+}
+
 bool retryStages(Gateway &gateway, Exchange &exchange, const std::vector<size_t> &stages)
 {
     if (stages.empty() || exchange.m_planRestarts >= MaxPlanRestarts) {
--- a/src/gateway_internal.h
+++ b/src/gateway_internal.h
@@ -73,6 +73,8 @@
     bool m_isReused = false; ///< the connection has carried an answer before
     int m_informational = 0; ///< 1xx answers to the open call
     MessageKind m_messageKind = MessageKind::Unknown; ///< of the message that is being read
+    TimePoint m_openedAt;
+    std::optional<TimePoint> m_connectedAt; ///< end of the handshake
     TimePoint m_idleSince;
     Duration m_idleLimit{}; ///< maximum idle time; the replica closes the connection soon after
 
@@ -93,6 +95,7 @@
     double m_failureRate = 0; ///< exponential moving average of failed attempts, 0 to 1
     int m_failures = 0; ///< consecutive
     TimePoint m_suspectedUntil;
+    ConnectHistory m_connects;
     bool m_registered = true;
 };
 
@@ -189,6 +192,8 @@
     AttemptState m_attempts; ///< what all attempts add up to
     std::set<std::string> m_tried; ///< ids of replicas with a failed attempt
     std::unique_ptr<Attempt> m_attempt = std::make_unique<Attempt>(); ///< the latest attempt
+    int m_connectFailures = 0; ///< failed connections of all attempts
+    NetTimer m_connectTimer; ///< until the next attempt to get a connection
 
     bool m_streaming = false; ///< events have been sent to the caller
     int64_t m_lastEvent = 0; ///< id of the last event sent to the caller
@@ -228,6 +233,12 @@
 /** Selects a replica and sends the request to it. All stages have to be done. */
 void startAttempt(Gateway &gateway, Exchange &exchange);
 void stopAttempt(Gateway &gateway, Exchange &exchange);
+/**
+ * Starts the next attempt of a request that found no connection after a pause, or refuses the request at once when none is likely to be
+ * available before its deadline.
+ * @param earliest when the first replica may be tried again; nothing when another one may be tried now
+ */
+void retryConnect(Gateway &gateway, Exchange &exchange, std::optional<TimePoint> earliest);
 /** Sizes in bytes of the results of @p stages, by the failure domain of the replicas that hold them. */
 BytesByDomain resultBytesByDomain(Gateway &gateway, const Exchange &exchange, const std::vector<size_t> &stages);
 /** Failure domain of the replica that the request is expected to run on; empty when there is none. */
--- a/src/gateway_upstreams.cpp
+++ b/src/gateway_upstreams.cpp
@@ -185,6 +185,14 @@
     return gateway.m_calls.contains(number);
 }
 
+/** The replica answers on the connection, so that it accepts connections. */
+void observeConnection(Gateway &gateway, const UpstreamConnection &connection)
+{
+    if (Upstream *upstream = findUpstream(gateway, connection.m_replica)) {
+        observeConnectSuccess(upstream->m_connects);
+    }
+}
+
 /** Reads the messages in @p data. Each way to the end of a message passes its kind. */
 void readAnswer(Gateway &gateway, UpstreamConnection *connection, std::string_view data)
 {
@@ -202,6 +210,7 @@
         const bool isMessage = reader.m_state == ParseState::Body || reader.m_state == ParseState::Done;
         if (isMessage && connection->m_messageKind == MessageKind::Unknown) {
             connection->m_messageKind = classifyMessage(*connection);
+            observeConnection(gateway, *connection);
             observeNotices(gateway, *connection);
         }
         if (!isMessage || connection->m_messageKind == MessageKind::Invalid) {
@@ -228,9 +237,22 @@
     }
 }
 
+/** Records a connection that the replica has refused or reset at once. */
+void observeClose(Gateway &gateway, const UpstreamConnection &connection)
+{
+    Upstream *upstream = findUpstream(gateway, connection.m_replica);
+    const TimePoint now = gatewayNow(gateway);
+    const bool hasAnswered = connection.m_isReused || connection.m_messageKind != MessageKind::Unknown;
+    const bool isRefused = !hasAnswered && (!connection.m_connectedAt || now - *connection.m_connectedAt < ResetAfterConnect);
+    if (upstream != nullptr && isRefused) {
+        observeConnectFailure(upstream->m_connects, connection.m_openedAt, gateway.m_random, now);
+    }
+}
+
 void handleUpstreamClose(Gateway &gateway, UpstreamConnection *connection, CloseCause cause)
 {
     connection->m_net = nullptr;
+    observeClose(gateway, *connection);
     if (connection->m_call == nullptr) {
         closeUpstream(gateway, connection);
         return;
@@ -265,11 +287,17 @@
 {
     auto *connection = new UpstreamConnection;
     connection->m_replica = upstream.m_record.m_id;
+    connection->m_openedAt = gatewayNow(gateway);
+    beginConnect(upstream.m_connects, gateway.m_random, connection->m_openedAt);
     ConnectionOptions options;
     options.m_connectTimeout = UpstreamConnectTimeout;
     options.m_silenceTimeout = UpstreamSilenceTimeout;
     connection->m_net = NetConnection::connect(gateway.m_loop, upstream.m_address, options);
     connection->m_net->m_onConnect = [&gateway, connection] {
+        connection->m_connectedAt = gatewayNow(gateway);
+        if (Upstream *connected = findUpstream(gateway, connection->m_replica)) {
+            observeConnected(connected->m_connects, *connection->m_connectedAt);
+        }
         if (connection->m_call != nullptr) {
             if (!isWriteAllowed(gateway, *connection->m_call)) {
                 finishCall(gateway, connection, CallEnd::NotConnected);
@@ -375,6 +403,7 @@
             upstream.m_failureRate = 0;
             upstream.m_failures = 0;
             upstream.m_suspectedUntil = TimePoint();
+            upstream.m_connects = ConnectHistory();
         }
         upstream.m_record = replica.m_record;
         upstream.m_address = *address;
--- a/src/serving.h
+++ b/src/serving.h
@@ -14,6 +14,7 @@
  *  [SECTION] Start          whether a request is refused on arrival
  *  [SECTION] Placement      choice of the replica for a request
  *  [SECTION] Retries        the retry budget and the step after a failed attempt
+ *  [SECTION] Connections    when connections to replicas are opened
  *  [SECTION] Crashes        requests and prompt parts that crash replicas
  *
  * Decisions are free functions over plain structs; time and seed are parameters.
@@ -714,6 +715,47 @@
 /** The step after a failed attempt. @p budgetLeft is called only when a retry is otherwise allowed. */
 NextStep decideNextStep(const AttemptState &state, AttemptEnd end, TimePoint now, const std::function<bool()> &budgetLeft);
 
+//-----------------------------------------------------------------------------
+// [SECTION] Connections
+//-----------------------------------------------------------------------------
+
+/**
+ * Pauses between connections to replicas that refuse or reset them. Designed for a service of 112 replicas that all refuse
+ * connections, with six requests per second and gateway that wait for them.
+ */
+constexpr Duration ConnectPauseBase =
+    milliseconds(20); ///< doubles with each consecutive failure; a few round trips between failure domains
+constexpr Duration MaxConnectPause = milliseconds(500);
+/** A connection that ends so soon after its handshake, without an answer, was refused: replicas reset those beyond their limit. */
+constexpr Duration ResetAfterConnect = milliseconds(50);
+/** A request goes on to another replica at once after this many failed connections, and with a growing pause after more. */
+constexpr int MaxImmediateFailovers = 4;
+
+/** Failed connections of this gateway to one incarnation of a replica. */
+struct ConnectHistory {
+    int m_failures = 0; ///< consecutive
+    TimePoint m_failedAt; ///< last counted failure
+    TimePoint m_nextAt; ///< no new connection is opened before
+};
+
+/** Pause after @p failures consecutive failures: random between half of the limit and the limit that grows with their number. */
+Duration connectPause(int failures, Random &random);
+bool mayConnect(const ConnectHistory &history, TimePoint now);
+/** Call it before a connection is opened. While the last connection has failed, only one is opened in each pause. */
+void beginConnect(ConnectHistory &history, Random &random, TimePoint now);
+/** Connections that were begun before the last counted failure don't count, as they failed for the same cause. */
+void observeConnectFailure(ConnectHistory &history, TimePoint begunAt, Random &random, TimePoint now);
+/** The replica has accepted a connection, which it may still reset: the next one need not wait for the whole pause. */
+void observeConnected(ConnectHistory &history, TimePoint now);
+/** The replica has answered on a connection. */
+void observeConnectSuccess(ConnectHistory &history);
+/**
+ * When a request tries again to get a connection; nothing: it is refused at once, as no replica can be tried before its deadline.
+ * @param failures failed connections of this request
+ * @param earliest when the first replica may be tried again; nothing when another one may be tried now
+ */
+std::optional<TimePoint> nextConnectAt(int failures, std::optional<TimePoint> earliest, TimePoint deadline, Random &random, TimePoint now);
+
 //-----------------------------------------------------------------------------
 // [SECTION] Crashes
 //-----------------------------------------------------------------------------
