Use connections to replicas again where they are scarce

Where a gateway's part of a replica's max_connections is below four: - Plain requests that are not idempotent, and streams that can't be resumed, also use connections that were idle for more than a second, if the replica's host has replied to a keep-alive probe within 1,250 ms (TCP_INFO). A late copy of an earlier answer on the connection is recognised by its first handle and dropped. A connection whose answer had no handle is closed, and a piece is never sent twice on one connection. - Connections whose answers state no Keep-Alive time are kept for 30 s, or less when the replica closes them earlier. - Among replicas of about equal cost, placement prefers those with an idle connection, and 12 replicas per gateway, consecutive on a ring. A cached prompt is not given up for that. Services with larger shares are used as before, except that a connection never carries the same request twice.

--- a/src/gateway_attempts.cpp
+++ b/src/gateway_attempts.cpp
@@ -21,14 +21,23 @@
 
 void handleAttemptEnd(Gateway &gateway, Exchange &exchange, AttemptEnd end, Reason reason);
 
+/** A request that can't be repeated must not be written to a connection that may have become silent. */
+ConnectionUse connectionUse(const Exchange &exchange)
+{
+    const bool retryable = exchange.m_attempts.m_kind == RequestKind::Idempotent || exchange.m_attempts.m_resumable;
+    return retryable ? ConnectionUse::Pooled : ConnectionUse::Recent;
+}
+
 std::vector<ReplicaView> viewReplicas(Gateway &gateway, const Exchange &exchange)
 {
     std::vector<ReplicaView> views;
+    const bool scarce = isScarce(gateway, exchange.m_service);
+    const std::set<std::string> preferred = scarce ? preferredReplicas(gateway, exchange.m_service) : std::set<std::string>();
     const TimePoint now = gatewayNow(gateway);
     for (const std::string &id : gateway.m_replicasByService[exchange.m_service]) {
         const Upstream &upstream = gateway.m_upstreams.at(id);
-        const bool isReachable = !upstream.m_idle.empty() || mayConnect(upstream.m_connects, now);
-        if (now < pausedUntil(gateway.m_registry, id) || !isReachable) {
+        const bool hasIdle = hasReusable(gateway, upstream, connectionUse(exchange), scarce);
+        if (now < pausedUntil(gateway.m_registry, id) || !(hasIdle || mayConnect(upstream.m_connects, now))) {
             continue;
         }
         ReplicaView view;
@@ -40,6 +49,7 @@
         view.m_latency = upstream.m_latency;
         view.m_suspected = now < upstream.m_suspectedUntil;
         view.m_tried = exchange.m_tried.contains(id);
+        view.m_connectionCost = scarce ? connectionCost(hasIdle, preferred.contains(id), gateway.m_random) : 0;
         views.push_back(std::move(view));
     }
     return views;
@@ -548,12 +558,11 @@
     UpstreamCall call;
     call.m_text = formatAttempt(gateway, exchange, *replica);
     call.m_attemptId = exchange.m_attemptId;
+    call.m_ids = {hash64(exchange.m_attemptId)};
     const uint64_t number = exchange.m_number;
     call.m_onProgress = [&gateway, number](UpstreamCall &progress) { handleProgress(gateway, number, progress); };
     call.m_onEnd = [&gateway, number](UpstreamCall &ended, CallEnd end) { handleCallEnd(gateway, number, ended, end); };
-    const bool retryable = exchange.m_attempts.m_kind == RequestKind::Idempotent || exchange.m_attempts.m_resumable;
-    exchange.m_attempt->m_call =
-        startCall(gateway, *replica, std::move(call), retryable ? ConnectionUse::Pooled : ConnectionUse::RecentlyUsed)->m_number;
+    exchange.m_attempt->m_call = startCall(gateway, *replica, std::move(call), connectionUse(exchange))->m_number;
     startAttemptTimeout(gateway, exchange);
     markEvictableAfterFetch(gateway, exchange);
 }
--- a/src/gateway_internal.h
+++ b/src/gateway_internal.h
@@ -49,12 +49,23 @@
 
 struct UpstreamConnection;
 
+/** Calls of two purposes don't share a connection when it is used again: their answers can't be told apart in all cases. */
+enum class CallPurpose : uint8_t {
+    Request, ///< of a caller
+    StageRun,
+    StageRelease,
+};
+
 /** One HTTP request to an upstream. Callers refer to it by m_number; it ends with m_onEnd or cancelCall(). */
 struct UpstreamCall {
     uint64_t m_number = 0;
     std::string m_replica; ///< replica id
     std::string m_text; ///< serialized request; moved out once it is written
     std::string m_attemptId; ///< attempt id that the answer must echo; empty: not checked
+    CallPurpose m_purpose = CallPurpose::Request;
+    std::vector<uint64_t> m_ids; ///< hash of the attempt id, or of each piece of a stage call
+    /** Handles in the answer to a stage call, by which a copy of an earlier answer is recognised; not set: not checked. */
+    std::function<std::vector<std::string>(const HttpReader &)> m_handles;
     bool m_isWork = true; ///< only for replicas that accept work; releases of results go to all
     std::function<void(UpstreamCall &)> m_onProgress; ///< head complete or more of the body received; may cancel the call
     std::function<void(UpstreamCall &, CallEnd)> m_onEnd;
@@ -69,7 +80,8 @@
     HttpReader m_reader{HTTP_RESPONSE, MaxAnswerHeadBytes, MaxAnswerBodyBytes};
     std::string m_replica;
     UpstreamCall *m_call = nullptr; ///< null while idle
-    std::string m_lastAttemptId; ///< of the previous call on this connection; a late copy of its answer may still arrive
+    CallPurpose m_purpose = CallPurpose::Request;
+    CarriedCalls m_carried; ///< previous calls on this connection
     bool m_isReused = false; ///< the connection has carried an answer before
     int m_informational = 0; ///< 1xx answers to the open call
     MessageKind m_messageKind = MessageKind::Unknown; ///< of the message that is being read
@@ -96,15 +108,23 @@
     int m_failures = 0; ///< consecutive
     TimePoint m_suspectedUntil;
     ConnectHistory m_connects;
+    Duration m_idleLimit = LongIdleLimit; ///< of connections whose answers have no Keep-Alive time, with scarce connections
     bool m_registered = true;
 };
 
-enum class ConnectionUse : uint8_t {
-    Fresh, ///< always a new connection, which can't carry a late answer to an earlier call
-    RecentlyUsed, ///< a pooled connection only when it was in use a short time ago
-    Pooled, ///< any pooled connection within its idle limit
+/** Connections to replicas since the start of the process. */
+struct ConnectionCounts {
+    uint64_t m_opened = 0;
+    uint64_t m_reused = 0; ///< calls on an idle connection
+    uint64_t m_copies = 0; ///< copies of earlier answers to stage calls, dropped
 };
 
+/** Whether the connections of a service are scarce, see hasScarceConnections(). */
+bool isScarce(Gateway &gateway, const std::string &service);
+/** Whether an idle connection to a replica may carry a request of a caller. */
+bool hasReusable(Gateway &gateway, const Upstream &upstream, ConnectionUse use, bool isScarceService);
+/** Replicas of @p service that this gateway prefers, see isPreferred(). */
+std::set<std::string> preferredReplicas(Gateway &gateway, const std::string &service);
 /** Starts a call. m_onEnd is never called from within this function. */
 UpstreamCall *startCall(Gateway &gateway, const std::string &replica, UpstreamCall prototype, ConnectionUse use);
 /** Cancels a call without calling m_onEnd. Closes the connection, so that the replica stops its work. */
@@ -522,6 +542,8 @@
     Membership m_membership;
     std::map<std::string, Upstream> m_upstreams; ///< by replica id
     std::map<std::string, std::vector<std::string>> m_replicasByService;
+    ConnectionCounts m_connectionCounts;
+    size_t m_largestMembership = 1; ///< since the start: the membership at which connections are found to be scarce
     std::map<std::string, RetryBudget> m_retryBudgets; ///< by service
     std::map<std::string, SizeMean> m_sizes; ///< by route
     StoreClient m_store;
--- a/src/gateway_run.cpp
+++ b/src/gateway_run.cpp
@@ -69,6 +69,14 @@
     addGauge(registry, "medlarramp_open_requests", "Requests not answered yet", static_cast<double>(gateway.m_exchanges.size()));
     addGauge(registry, "medlarramp_gateways", "Gateways in the membership", static_cast<double>(gateway.m_membership.m_members.size()));
     addGauge(registry, "medlarramp_replicas", "Replicas in the registry", static_cast<double>(gateway.m_registry.m_replicas.size()));
+    const ConnectionCounts &connections = gateway.m_connectionCounts;
+    addGauge(registry, "medlarramp_connections_opened", "Connections to replicas", static_cast<double>(connections.m_opened));
+    addGauge(
+        registry, "medlarramp_connections_reused", "Calls on an idle connection to a replica", static_cast<double>(connections.m_reused));
+    addGauge(registry,
+             "medlarramp_stage_answer_copies",
+             "Copies of earlier answers to stage calls that were dropped",
+             static_cast<double>(connections.m_copies));
     const double version = gateway.m_configuration ? static_cast<double>(gateway.m_configuration->m_version) : 0;
     addGauge(registry, "medlarramp_configuration_version", "Version of the applied configuration", version);
     addGauge(registry,
--- a/src/gateway_stages.cpp
+++ b/src/gateway_stages.cpp
@@ -332,6 +332,31 @@
     return expected * CallTimeoutFactor + CallTimeoutMargin;
 }
 
+std::vector<uint64_t> pieceIds(const StageQueue &queue, const StageCall &call)
+{
+    std::vector<uint64_t> ids;
+    for (const StageCall::Item &item : call.m_items) {
+        const StageTask &task = queue.m_tasks.at(item.m_ticket);
+        ids.push_back(hash64(fmt::format("{}/{}/{}", task.m_stage, item.m_piece, task.m_request)));
+    }
+    return ids;
+}
+
+/** Handles in the answer to a stage call, empty for failed pieces; none when it is not a valid answer. */
+std::vector<std::string> handlesIn(const HttpReader &reader)
+{
+    std::vector<std::string> handles;
+    if (reader.m_status != HTTP_STATUS_OK) {
+        return handles;
+    }
+    if (absl::StatusOr<std::vector<Platform::PieceResult>> results = Platform::decodeStageRun(reader.m_body); results.ok()) {
+        for (Platform::PieceResult &result : *results) {
+            handles.push_back(std::move(result.m_handle));
+        }
+    }
+    return handles;
+}
+
 /** Sends @p call, leaving out pieces whose tasks have ended since the call was planned. */
 void sendStageCall(Gateway &gateway, OwnedQueue &owned, StageCall call)
 {
@@ -357,8 +382,16 @@
         }
         runQueue(gateway, owned);
     };
-    // Answers to stage calls carry no attempt id, so on a reused connection a late answer to an earlier call would be accepted.
-    const uint64_t number = startCall(gateway, call.m_replica, std::move(upstream), ConnectionUse::Fresh)->m_number;
+    // Answers to stage calls carry no attempt id. On a connection that is used again, a late copy of an earlier answer is recognised by its
+    // handles.
+    const bool isReused = isScarce(gateway, owned.m_queue.m_service);
+    upstream.m_purpose = CallPurpose::StageRun;
+    if (isReused) {
+        upstream.m_ids = pieceIds(owned.m_queue, call);
+        upstream.m_handles = handlesIn;
+    }
+    const ConnectionUse use = isReused ? ConnectionUse::Pooled : ConnectionUse::Fresh;
+    const uint64_t number = startCall(gateway, call.m_replica, std::move(upstream), use)->m_number;
     timer->start(gateway.m_loop, callTimeout(owned.m_queue, call), [&gateway, &owned, call, number] {
         cancelCall(gateway, number);
         failCall(gateway, owned, call, PieceFailure::Lost);
@@ -426,6 +459,7 @@
                                                     + static_cast<std::ptrdiff_t>(std::min(handles.size(), start + MaxReleases)));
             UpstreamCall call;
             call.m_isWork = false;
+            call.m_purpose = CallPurpose::StageRelease;
             call.m_text = formatRequest("POST", std::string(Platform::StageFreeTarget), headers, Platform::encodeStageFree(part));
             // Result capacity stays reserved until the replica has confirmed; after a lost release, until the result expires.
             call.m_onEnd = [&gateway, &owned, part](UpstreamCall &, CallEnd end) {
--- a/src/gateway_upstreams.cpp
+++ b/src/gateway_upstreams.cpp
@@ -11,8 +11,6 @@
 
 constexpr Duration UpstreamConnectTimeout = milliseconds(400); ///< covers several round trips between failure domains and one lost packet
 constexpr Duration UpstreamSilenceTimeout = milliseconds(3000); ///< whole seconds, the resolution of TCP keep-alive probes
-constexpr Duration RecentIdleLimit = milliseconds(1000); ///< a pooled connection idle for longer may have been dropped without notice
-constexpr Duration DefaultIdleLimit = seconds(4); ///< for replicas whose answers have no Keep-Alive timeout
 constexpr size_t MaxIdleConnections = 16; ///< per replica
 constexpr double LatencyGain = 0.2; ///< weight of a new sample in the moving average
 constexpr double FailureGain = 0.2; ///< weight of a new sample in the moving average
@@ -29,12 +27,13 @@
     return upstream == gateway.m_upstreams.end() ? nullptr : &upstream->second;
 }
 
-Duration idleLimitOf(const HttpHeaders &headers)
+/** @param unstated limit for answers without a Keep-Alive time */
+Duration idleLimitOf(const HttpHeaders &headers, Duration unstated)
 {
     const std::optional<std::string_view> keepAlive = findHeader(headers, "keep-alive");
     const size_t position = keepAlive ? keepAlive->find("timeout=") : std::string_view::npos;
     if (position == std::string_view::npos) {
-        return DefaultIdleLimit;
+        return unstated;
     }
     const std::string_view text = keepAlive->substr(position + std::string_view("timeout=").size());
     int64_t limit = 0;
@@ -92,7 +91,8 @@
         closeUpstream(gateway, connection);
         return;
     }
-    connection->m_idleLimit = idleLimitOf(connection->m_reader.m_headers);
+    const Duration unstated = isScarce(gateway, upstream->m_record.m_service) ? upstream->m_idleLimit : DefaultIdleLimit;
+    connection->m_idleLimit = idleLimitOf(connection->m_reader.m_headers, unstated);
     connection->m_idleSince = gatewayNow(gateway);
     connection->m_isReused = true;
     connection->m_informational = 0;
@@ -112,12 +112,25 @@
     delete connection;
 }
 
+/** Remembers which request a connection has carried. Stage calls are remembered with their answers, see takeStageAnswer(). */
+void rememberCall(UpstreamConnection &connection, const UpstreamCall &call)
+{
+    std::vector<uint64_t> &calls = connection.m_carried.m_calls;
+    if (call.m_handles || call.m_ids.empty()) {
+        return;
+    }
+    if (calls.size() >= MaxCarriedCalls) {
+        calls.erase(calls.begin());
+    }
+    calls.push_back(call.m_ids.front());
+}
+
 void finishCall(Gateway &gateway, UpstreamConnection *connection, CallEnd end)
 {
     UpstreamCall *call = connection->m_call;
     auto owned = std::move(gateway.m_calls.at(call->m_number));
     gateway.m_calls.erase(call->m_number);
-    connection->m_lastAttemptId = owned->m_attemptId;
+    rememberCall(*connection, *owned);
     if (connection->m_messageKind != MessageKind::Answer) {
         connection->m_reader.reset(); // the callback must not read a message of another call
     }
@@ -193,6 +206,25 @@
     }
 }
 
+/** Checks a complete answer to a stage call. @return false when it is a copy of an earlier answer on the connection. */
+bool takeStageAnswer(Gateway &gateway, UpstreamConnection &connection)
+{
+    const UpstreamCall &call = *connection.m_call;
+    if (!call.m_handles) {
+        return true;
+    }
+    HttpReader &reader = connection.m_reader;
+    const std::vector<std::string> handles = call.m_handles(reader);
+    if (connection.m_isReused && isEarlierAnswer(connection.m_carried, handles)) {
+        gateway.m_connectionCounts.m_copies += 1;
+        writeLog(LogLevel::Info, "stage", "Copy of an earlier answer dropped.", {{"replica", connection.m_replica}});
+        return false;
+    }
+    const bool isRecorded = recordStageAnswer(connection.m_carried, call.m_ids, handles);
+    reader.m_keepAlive = reader.m_keepAlive && isRecorded && connection.m_carried.m_calls.size() < MaxCarriedCalls;
+    return true;
+}
+
 /** Reads the messages in @p data. Each way to the end of a message passes its kind. */
 void readAnswer(Gateway &gateway, UpstreamConnection *connection, std::string_view data)
 {
@@ -224,6 +256,10 @@
             }
             continue;
         }
+        if (reader.m_state == ParseState::Done && !takeStageAnswer(gateway, *connection)) {
+            startMessage(*connection);
+            continue;
+        }
         if (!reportProgress(gateway, connection)) {
             return;
         }
@@ -249,11 +285,21 @@
     }
 }
 
+/** Learns how long a replica keeps idle connections that it states no time for. */
+void observeIdleClose(Gateway &gateway, const UpstreamConnection &connection, CloseCause cause)
+{
+    Upstream *upstream = findUpstream(gateway, connection.m_replica);
+    if (upstream != nullptr && cause == CloseCause::End) {
+        upstream->m_idleLimit = shortenIdleLimit(upstream->m_idleLimit, gatewayNow(gateway) - connection.m_idleSince);
+    }
+}
+
 void handleUpstreamClose(Gateway &gateway, UpstreamConnection *connection, CloseCause cause)
 {
     connection->m_net = nullptr;
     observeClose(gateway, *connection);
     if (connection->m_call == nullptr) {
+        observeIdleClose(gateway, *connection, cause);
         closeUpstream(gateway, connection);
         return;
     }
@@ -261,7 +307,8 @@
     if (cause == CloseCause::End && reader.m_state == ParseState::Body && !reader.m_framed) {
         reader.feedEnd();
     }
-    if (reader.m_state == ParseState::Done && connection->m_messageKind == MessageKind::Answer) {
+    const bool isAnswered = reader.m_state == ParseState::Done && connection->m_messageKind == MessageKind::Answer;
+    if (isAnswered && takeStageAnswer(gateway, *connection)) {
         finishCall(gateway, connection, CallEnd::Done);
         return;
     }
@@ -313,29 +360,34 @@
         handleUpstreamClose(gateway, connection, cause);
     };
     upstream.m_connections += 1;
+    gateway.m_connectionCounts.m_opened += 1;
     return connection;
 }
 
+bool mayCarry(Gateway &gateway, const UpstreamConnection &connection, ConnectionUse use, bool isScarceService)
+{
+    IdleConnection idle;
+    idle.m_idle = gatewayNow(gateway) - connection.m_idleSince;
+    idle.m_idleLimit = connection.m_idleLimit;
+    const bool isHeardNeeded = isScarceService && use == ConnectionUse::Recent && idle.m_idle > RecentIdleLimit;
+    idle.m_heard = isHeardNeeded ? connection.m_net->heardAgo() : std::nullopt;
+    return mayReuse(idle, use, isScarceService);
+}
+
 /**
- * A pooled connection for a call, or null. Not one whose previous call had the same attempt id: a late copy of its answer
- * could not be told from the answer to this call.
+ * An idle connection for a call, the most recently used one that may carry it, or null. Not one that has carried the same request
+ * before: a late copy of its answer could not be told from the answer to this call.
  */
-UpstreamConnection *takeIdle(Gateway &gateway, Upstream &upstream, const std::string &attemptId, ConnectionUse use)
+UpstreamConnection *takeIdle(Gateway &gateway, Upstream &upstream, const UpstreamCall &call, ConnectionUse use)
 {
-    while (use != ConnectionUse::Fresh && !upstream.m_idle.empty()) {
-        UpstreamConnection *connection = upstream.m_idle.back();
-        if (!attemptId.empty() && connection->m_lastAttemptId == attemptId) {
-            return nullptr;
-        }
-        const Duration idle = gatewayNow(gateway) - connection->m_idleSince;
-        if (idle >= connection->m_idleLimit) {
-            closeUpstream(gateway, connection);
+    const bool isScarceService = isScarce(gateway, upstream.m_record.m_service);
+    for (size_t i = upstream.m_idle.size(); i > 0; --i) {
+        UpstreamConnection *connection = upstream.m_idle[i - 1];
+        const bool hasOtherPurpose = isScarceService && connection->m_purpose != call.m_purpose;
+        if (hasOtherPurpose || hasCarried(connection->m_carried, call.m_ids) || !mayCarry(gateway, *connection, use, isScarceService)) {
             continue;
         }
-        if (use == ConnectionUse::RecentlyUsed && idle > RecentIdleLimit) {
-            return nullptr;
-        }
-        upstream.m_idle.pop_back();
+        upstream.m_idle.erase(upstream.m_idle.begin() + static_cast<std::ptrdiff_t>(i - 1));
         return connection;
     }
     return nullptr;
@@ -343,6 +395,35 @@
 
 } // namespace
 
+bool isScarce(Gateway &gateway, const std::string &service)
+{
+    const ServingService *definition = gateway.m_configuration ? findService(*gateway.m_configuration, service) : nullptr;
+    gateway.m_largestMembership = std::max(gateway.m_largestMembership, memberCount(gateway.m_membership, gatewayNow(gateway)));
+    return definition != nullptr && hasScarceConnections(definition->m_maxConnections, gateway.m_largestMembership);
+}
+
+bool hasReusable(Gateway &gateway, const Upstream &upstream, ConnectionUse use, bool isScarceService)
+{
+    return std::any_of(upstream.m_idle.begin(), upstream.m_idle.end(), [&](const UpstreamConnection *connection) {
+        return mayCarry(gateway, *connection, use, isScarceService);
+    });
+}
+
+std::set<std::string> preferredReplicas(Gateway &gateway, const std::string &service)
+{
+    std::vector<std::string> ids = gateway.m_replicasByService[service];
+    std::sort(ids.begin(), ids.end(), [](const std::string &left, const std::string &right) { return hash64(left) < hash64(right); });
+    const auto &members = gateway.m_membership.m_members;
+    const auto index = static_cast<size_t>(std::distance(members.begin(), members.find(gateway.m_settings.m_node)));
+    std::set<std::string> preferred;
+    for (size_t i = 0; i < ids.size(); ++i) {
+        if (isPreferred(i, ids.size(), index)) {
+            preferred.insert(ids[i]);
+        }
+    }
+    return preferred;
+}
+
 UpstreamCall *startCall(Gateway &gateway, const std::string &replica, UpstreamCall prototype, ConnectionUse use)
 {
     auto owned = std::make_unique<UpstreamCall>(std::move(prototype));
@@ -353,14 +434,16 @@
     call->m_lastByteAt = call->m_startedAt;
     gateway.m_calls.emplace(call->m_number, std::move(owned));
     Upstream &upstream = gateway.m_upstreams.at(replica);
-    UpstreamConnection *connection = takeIdle(gateway, upstream, call->m_attemptId, use);
+    UpstreamConnection *connection = takeIdle(gateway, upstream, *call, use);
     const bool reused = connection != nullptr;
     if (!reused) {
         connection = openConnection(gateway, upstream);
     }
     connection->m_call = call;
+    connection->m_purpose = call->m_purpose;
     call->m_connection = connection;
     if (reused) {
+        gateway.m_connectionCounts.m_reused += 1;
         call->m_sent = true;
         logCallWritten(gateway, *call);
         connection->m_net->write(std::exchange(call->m_text, std::string()));
@@ -404,6 +487,7 @@
             upstream.m_failures = 0;
             upstream.m_suspectedUntil = TimePoint();
             upstream.m_connects = ConnectHistory();
+            upstream.m_idleLimit = LongIdleLimit;
         }
         upstream.m_record = replica.m_record;
         upstream.m_address = *address;
--- a/src/net.h
+++ b/src/net.h
@@ -127,6 +127,8 @@
     /** Ends the connection after all queued data has been written; reads nothing more. */
     void closeAfterWrites();
     void close();
+    /** Time since the last segment from the peer's host, replies to keep-alive probes included; nothing when it is unknown. */
+    [[nodiscard]] std::optional<Duration> heardAgo() const;
     /** Ends the connection by a reset, so that the peer can't take it for the end of an answer. */
     void resetConnection();
     [[nodiscard]] size_t queuedBytes() const;
--- a/src/net_loop.cpp
+++ b/src/net_loop.cpp
@@ -349,6 +349,18 @@
     return m_queued + m_pending.size();
 }
 
+std::optional<Duration> NetConnection::heardAgo() const
+{
+    uv_os_fd_t descriptor = -1;
+    tcp_info info{};
+    socklen_t size = sizeof info;
+    if (!m_connected || uv_fileno(reinterpret_cast<const uv_handle_t *>(&m_tcp), &descriptor) != 0
+        || getsockopt(descriptor, IPPROTO_TCP, TCP_INFO, &info, &size) != 0) {
+        return std::nullopt;
+    }
+    return milliseconds(info.tcpi_last_ack_recv);
+}
+
 void NetConnection::finish(CloseCause cause, absl::Status status)
 {
     if (m_closing) {
--- a/src/serving.h
+++ b/src/serving.h
@@ -14,7 +14,7 @@
  *  [SECTION] Start          whether a request is refused on arrival
  *  [SECTION] Placement      choice of the replica for a request
  *  [SECTION] Retries        the retry budget and the step after a failed attempt
- *  [SECTION] Connections    when connections to replicas are opened
+ *  [SECTION] Connections    when connections to replicas are opened, and which are used again
  *  [SECTION] Crashes        requests and prompt parts that crash replicas
  *
  * Decisions are free functions over plain structs; time and seed are parameters.
@@ -643,6 +643,7 @@
     double m_latency = 0; ///< moving mean of observed latencies, seconds; 0: unknown
     bool m_suspected = false; ///< it failed recently
     bool m_tried = false; ///< an earlier attempt at this request failed there
+    double m_connectionCost = 0; ///< seconds, see connectionCost()
 };
 
 struct PlacementRequest {
@@ -756,6 +757,75 @@
  */
 std::optional<TimePoint> nextConnectAt(int failures, std::optional<TimePoint> earliest, TimePoint deadline, Random &random, TimePoint now);
 
+/**
+ * Reuse and shares of connections. Designed for 112 replicas with 240 connections each, 87 gateways with five requests per second each,
+ * and 30 gateways that join or die at once.
+ */
+constexpr int MaxSharedConnections = 4; ///< per gateway and replica; a service with a larger share is used without shares
+
+/** Whether gateways keep shares of the connections of a service and use connections again for longer. */
+bool hasScarceConnections(int maxConnections, size_t gateways);
+
+enum class ConnectionUse : uint8_t {
+    Fresh, ///< always a new connection, which can't carry a late answer to an earlier call
+    Recent, ///< for requests that can't be repeated: an idle connection only when the replica was heard from a short time ago
+    Pooled, ///< any idle connection within its idle limit
+};
+
+/** An idle connection to a replica. */
+struct IdleConnection {
+    Duration m_idle{}; ///< since the last answer on it
+    Duration m_idleLimit{}; ///< the replica is expected to close it soon after
+    std::optional<Duration> m_heard; ///< since the last segment from the replica's host, replies to keep-alive probes included
+};
+
+constexpr Duration RecentIdleLimit = milliseconds(1000); ///< a connection idle for longer may have been dropped without notice
+/** Probes are sent each second; the margin covers the resolution of kernel timers and a round trip between failure domains. */
+constexpr Duration RecentlyHeardLimit = milliseconds(1250);
+constexpr Duration DefaultIdleLimit = seconds(4); ///< for replicas whose answers have no Keep-Alive time
+constexpr Duration LongIdleLimit = seconds(30); ///< the same with scarce connections; shortened when a replica closes an idle one
+
+/**
+ * Whether an idle connection may carry a call of @p use. With scarce connections, a request that can't be repeated also uses one that was
+ * idle for longer than RecentIdleLimit when the replica's host has replied to a keep-alive probe a short time ago.
+ */
+bool mayReuse(const IdleConnection &connection, ConnectionUse use, bool isScarce);
+/** The idle limit of a replica that has closed a connection after it was idle for @p idle; not below DefaultIdleLimit. */
+Duration shortenIdleLimit(Duration limit, Duration idle);
+
+/** Hashes of what the calls on one connection carried; a second copy of one of their answers may still arrive. */
+struct CarriedCalls {
+    std::vector<uint64_t> m_calls; ///< attempt ids; for stage calls, the piece of the first result
+    std::vector<uint64_t> m_results; ///< first handle of the answer to each stage call
+};
+
+constexpr size_t MaxCarriedCalls = 512; ///< a connection is closed after this number of calls
+
+/** Whether a call with @p ids (an attempt id, or pieces of a stage) can't use the connection, as one of them was sent on it before. */
+bool hasCarried(const CarriedCalls &carried, const std::vector<uint64_t> &ids);
+/** Whether an answer with @p handles (empty ones for failed pieces) is a copy of an earlier answer on the connection. */
+bool isEarlierAnswer(const CarriedCalls &carried, const std::vector<std::string> &handles);
+/**
+ * Records a stage call with its answer.
+ * @param pieces ids of the pieces of the call
+ * @return false when the answer has no handle: a later copy could not be recognised, so that the connection has to be closed
+ */
+bool recordStageAnswer(CarriedCalls &carried, const std::vector<uint64_t> &pieces, const std::vector<std::string> &handles);
+
+constexpr size_t ConnectionSubset = 12; ///< replicas of a service that a gateway prefers
+
+/**
+ * Whether gateway number @p index prefers replica number @p replica. It prefers consecutive replicas on a ring, so that the numbers of
+ * gateways that prefer any two replicas differ by at most one.
+ */
+bool isPreferred(size_t replica, size_t replicas, size_t index);
+
+/**
+ * Cost of a request to a replica that is due to its connection, in seconds: a part for a new connection, a part for a replica that
+ * the gateway doesn't prefer, and a random part so that replicas of equal cost get equal load.
+ */
+double connectionCost(bool hasIdle, bool isPreferred, Random &random);
+
 //-----------------------------------------------------------------------------
 // [SECTION] Crashes
 //-----------------------------------------------------------------------------
--- a/src/serving_connections.cpp
+++ b/src/serving_connections.cpp
@@ -4,6 +4,27 @@
 
 namespace Medlarramp::Serving {
 
+namespace {
+
+// Together they are below the cost of reading 500 prompt tokens, so that they decide only among replicas of about equal cost.
+constexpr double NewConnectionCost = 0.004; ///< seconds; 1 ms of the replica's time, a round trip, and its price
+constexpr double NotPreferredCost = 0.004; ///< seconds
+constexpr double RandomCost = 0.001; ///< seconds
+
+/** Position of the first handle that is not empty; the number of handles when there is none. */
+size_t firstHandle(const std::vector<std::string> &handles)
+{
+    const auto first = std::find_if(handles.begin(), handles.end(), [](const std::string &handle) { return !handle.empty(); });
+    return static_cast<size_t>(first - handles.begin());
+}
+
+bool contains(const std::vector<uint64_t> &values, uint64_t value)
+{
+    return std::find(values.begin(), values.end(), value) != values.end();
+}
+
+} // namespace
+
 Duration connectPause(int failures, Random &random)
 {
     constexpr int MaxDoublings = 16; // enough to reach MaxConnectPause, and no overflow
@@ -55,4 +76,60 @@
     return next + MinAttemptTime <= deadline ? std::optional(next) : std::nullopt;
 }
 
+bool hasScarceConnections(int maxConnections, size_t gateways)
+{
+    return static_cast<size_t>(std::max(0, maxConnections)) < MaxSharedConnections * gateways;
+}
+
+bool mayReuse(const IdleConnection &connection, ConnectionUse use, bool isScarce)
+{
+    if (use == ConnectionUse::Fresh || connection.m_idle >= connection.m_idleLimit) {
+        return false;
+    }
+    const bool isRecent = connection.m_idle <= RecentIdleLimit;
+    const bool isHeard = isScarce && connection.m_heard && *connection.m_heard <= RecentlyHeardLimit;
+    return use == ConnectionUse::Pooled || isRecent || isHeard;
+}
+
+Duration shortenIdleLimit(Duration limit, Duration idle)
+{
+    return std::max(DefaultIdleLimit, std::min(limit, idle * 3 / 4));
+}
+
+bool hasCarried(const CarriedCalls &carried, const std::vector<uint64_t> &ids)
+{
+    return std::any_of(ids.begin(), ids.end(), [&carried](uint64_t id) { return contains(carried.m_calls, id); });
+}
+
+bool isEarlierAnswer(const CarriedCalls &carried, const std::vector<std::string> &handles)
+{
+    const size_t first = firstHandle(handles);
+    return first < handles.size() && contains(carried.m_results, hash64(handles[first]));
+}
+
+bool recordStageAnswer(CarriedCalls &carried, const std::vector<uint64_t> &pieces, const std::vector<std::string> &handles)
+{
+    const size_t first = firstHandle(handles);
+    if (first >= std::min(handles.size(), pieces.size())) {
+        return false;
+    }
+    carried.m_calls.push_back(pieces[first]);
+    carried.m_results.push_back(hash64(handles[first]));
+    return true;
+}
+
+bool isPreferred(size_t replica, size_t replicas, size_t index)
+{
+    if (replicas <= ConnectionSubset) {
+        return true;
+    }
+    const size_t start = index * ConnectionSubset % replicas;
+    return (replica + replicas - start) % replicas < ConnectionSubset;
+}
+
+double connectionCost(bool hasIdle, bool isPreferred, Random &random)
+{
+    return (hasIdle ? 0 : NewConnectionCost) + (isPreferred ? 0 : NotPreferredCost) + RandomCost * uniformReal(random);
+}
+
 } // namespace Medlarramp::Serving
--- a/src/serving_placement.cpp
+++ b/src/serving_placement.cpp
@@ -31,7 +31,7 @@
     const double latency = replica.m_latency > 0 ? replica.m_latency : DefaultLatency;
     const double queued = runningRequests(replica) / std::max(1, replica.m_slots);
     const double transferCost = replica.m_failureDomain == request.m_callerDomain ? 0 : CrossDomainCost;
-    return latency * (1 + queued) + transferCost + failurePenalty(replica);
+    return latency * (1 + queued) + transferCost + replica.m_connectionCost + failurePenalty(replica);
 }
 
 int64_t tokenCount(const std::vector<PromptPart> &parts)
@@ -72,6 +72,9 @@
     cost += running * SecondsPerRunningRequest;
     cost += running >= replica.m_slots ? FullReplicaCost : 0;
     cost += static_cast<double>(crossDomainBytes(replica, request)) * InputSecondsPerByte;
+    // A cached prompt is not given up for a connection.
+    const bool hasCached = isHome && sharedTokens(request.m_parts) > 0;
+    cost += hasCached ? 0 : replica.m_connectionCost;
     return cost + failurePenalty(replica);
 }
 
