Keep each gateway within its share of a replica's connections

Where connections are scarce, a gateway has at most 7/8 of max_connections divided by memberCount() to each replica, idle ones included; one in its first 15 s, and one less for 2 s after the replica has refused or reset a connection. Requests go to another replica, or wait until a connection is free, and are refused at their deadline as too_many_connections. Stage services have no shares, as only the owner of their queue calls them. Unused shares are not lent.

--- a/src/gateway_attempts.cpp
+++ b/src/gateway_attempts.cpp
@@ -32,12 +32,14 @@
 {
     std::vector<ReplicaView> views;
     const bool scarce = isScarce(gateway, exchange.m_service);
-    const std::set<std::string> preferred = scarce ? preferredReplicas(gateway, exchange.m_service) : std::set<std::string>();
+    const std::vector<std::string> &ids = gateway.m_replicasByService[exchange.m_service];
+    const size_t index = memberIndex(gateway);
     const TimePoint now = gatewayNow(gateway);
-    for (const std::string &id : gateway.m_replicasByService[exchange.m_service]) {
+    for (const std::string &id : ids) {
         const Upstream &upstream = gateway.m_upstreams.at(id);
         const bool hasIdle = hasReusable(gateway, upstream, connectionUse(exchange), scarce);
-        if (now < pausedUntil(gateway.m_registry, id) || !(hasIdle || mayConnect(upstream.m_connects, now))) {
+        const bool mayOpen = mayConnect(upstream.m_connects, now) && isWithinShare(gateway, upstream);
+        if (now < pausedUntil(gateway.m_registry, id) || !(hasIdle || mayOpen)) {
             continue;
         }
         ReplicaView view;
@@ -49,7 +51,8 @@
         view.m_latency = upstream.m_latency;
         view.m_suspected = now < upstream.m_suspectedUntil;
         view.m_tried = exchange.m_tried.contains(id);
-        view.m_connectionCost = scarce ? connectionCost(hasIdle, preferred.contains(id), gateway.m_random) : 0;
+        const bool preferred = isPreferred(upstream.m_ringPosition, ids.size(), index);
+        view.m_connectionCost = scarce ? connectionCost(hasIdle, preferred, gateway.m_random) : 0;
         views.push_back(std::move(view));
     }
     return views;
@@ -69,6 +72,25 @@
     return first;
 }
 
+/** Whether a replica of the service of @p exchange would get the request if this gateway had not used up its share of connections. */
+bool isShareUsedUp(Gateway &gateway, const Exchange &exchange)
+{
+    const TimePoint now = gatewayNow(gateway);
+    const std::vector<std::string> &ids = gateway.m_replicasByService[exchange.m_service];
+    return std::any_of(ids.begin(), ids.end(), [&](const std::string &id) {
+        const Upstream &upstream = gateway.m_upstreams.at(id);
+        const bool isUsable = now >= pausedUntil(gateway.m_registry, id) && mayConnect(upstream.m_connects, now);
+        return isUsable && !isWithinShare(gateway, upstream);
+    });
+}
+
+void waitForShare(Gateway &gateway, Exchange &exchange)
+{
+    const TimePoint next = nextShareCheck(exchange.m_shareWaits, gateway.m_random, gatewayNow(gateway));
+    exchange.m_shareWaits += 1;
+    retryConnect(gateway, exchange, next, Reason::TooManyConnections);
+}
+
 /** Stages whose results have not been released; the replica of the attempt reads them. */
 std::vector<size_t> unreleasedStages(const Exchange &exchange)
 {
@@ -536,6 +558,10 @@
         if (refuseIfPaused(gateway, exchange, gatewayNow(gateway))) {
             return;
         }
+        if (isShareUsedUp(gateway, exchange)) {
+            waitForShare(gateway, exchange);
+            return;
+        }
         if (const std::optional<TimePoint> earliest = firstConnectAt(gateway, exchange)) {
             retryConnect(gateway, exchange, earliest);
             return;
@@ -562,20 +588,27 @@
     const uint64_t number = exchange.m_number;
     call.m_onProgress = [&gateway, number](UpstreamCall &progress) { handleProgress(gateway, number, progress); };
     call.m_onEnd = [&gateway, number](UpstreamCall &ended, CallEnd end) { handleCallEnd(gateway, number, ended, end); };
-    exchange.m_attempt->m_call = startCall(gateway, *replica, std::move(call), connectionUse(exchange))->m_number;
+    const UpstreamCall *started = startCall(gateway, *replica, std::move(call), connectionUse(exchange));
+    if (started == nullptr) {
+        releaseReplica(gateway, exchange);
+        waitForShare(gateway, exchange);
+        return;
+    }
+    exchange.m_attempt->m_call = started->m_number;
     startAttemptTimeout(gateway, exchange);
     markEvictableAfterFetch(gateway, exchange);
 }
 
-void retryConnect(Gateway &gateway, Exchange &exchange, std::optional<TimePoint> earliest)
+void retryConnect(Gateway &gateway, Exchange &exchange, std::optional<TimePoint> earliest, Reason reason)
 {
     const TimePoint now = gatewayNow(gateway);
     const TimePoint deadline = exchange.m_streaming ? exchange.m_deadline : exchange.m_firstEventDeadline;
     const std::optional<TimePoint> next = nextConnectAt(exchange.m_connectFailures, earliest, deadline, gateway.m_random, now);
+    gateway.m_connectionCounts.m_refusedByShare += !next && reason == Reason::TooManyConnections ? 1 : 0;
     if (!next && exchange.m_attempts.m_ran == 0) {
-        refuseExchange(gateway, exchange, Reason::ConnectFailed);
+        refuseExchange(gateway, exchange, reason);
     } else if (!next) {
-        failExchange(gateway, exchange, HTTP_STATUS_BAD_GATEWAY, Reason::ConnectFailed);
+        failExchange(gateway, exchange, HTTP_STATUS_BAD_GATEWAY, reason);
     } else if (*next <= now) {
         startAttempt(gateway, exchange);
     } else {
--- a/src/gateway_internal.h
+++ b/src/gateway_internal.h
@@ -108,7 +108,9 @@
     int m_failures = 0; ///< consecutive
     TimePoint m_suspectedUntil;
     ConnectHistory m_connects;
+    TimePoint m_shareLoweredUntil;
     Duration m_idleLimit = LongIdleLimit; ///< of connections whose answers have no Keep-Alive time, with scarce connections
+    size_t m_ringPosition = 0; ///< among the usable replicas of its service, in the order of the hashes of their ids; see isPreferred()
     bool m_registered = true;
 };
 
@@ -116,16 +118,19 @@
 struct ConnectionCounts {
     uint64_t m_opened = 0;
     uint64_t m_reused = 0; ///< calls on an idle connection
+    uint64_t m_refusedByShare = 0; ///< requests that were refused because all connections of the share were in use
     uint64_t m_copies = 0; ///< copies of earlier answers to stage calls, dropped
 };
 
 /** Whether the connections of a service are scarce, see hasScarceConnections(). */
 bool isScarce(Gateway &gateway, const std::string &service);
+/** Whether a connection to a replica may be opened within the share of this gateway. An idle one that can't be used is closed for it. */
+bool isWithinShare(Gateway &gateway, const Upstream &upstream);
 /** Whether an idle connection to a replica may carry a request of a caller. */
 bool hasReusable(Gateway &gateway, const Upstream &upstream, ConnectionUse use, bool isScarceService);
-/** Replicas of @p service that this gateway prefers, see isPreferred(). */
-std::set<std::string> preferredReplicas(Gateway &gateway, const std::string &service);
-/** Starts a call. m_onEnd is never called from within this function. */
+/** Number of this gateway among the members, in the order of their names; see isPreferred(). */
+size_t memberIndex(const Gateway &gateway);
+/** Starts a call. m_onEnd is never called from within this function. @return null when all connections of the share are in use. */
 UpstreamCall *startCall(Gateway &gateway, const std::string &replica, UpstreamCall prototype, ConnectionUse use);
 /** Cancels a call without calling m_onEnd. Closes the connection, so that the replica stops its work. */
 void cancelCall(Gateway &gateway, uint64_t number);
@@ -213,6 +218,7 @@
     std::set<std::string> m_tried; ///< ids of replicas with a failed attempt
     std::unique_ptr<Attempt> m_attempt = std::make_unique<Attempt>(); ///< the latest attempt
     int m_connectFailures = 0; ///< failed connections of all attempts
+    int m_shareWaits = 0; ///< pauses because all connections of the share were in use
     NetTimer m_connectTimer; ///< until the next attempt to get a connection
 
     bool m_streaming = false; ///< events have been sent to the caller
@@ -257,8 +263,9 @@
  * Starts the next attempt of a request that found no connection after a pause, or refuses the request at once when none is likely to be
  * available before its deadline.
  * @param earliest when the first replica may be tried again; nothing when another one may be tried now
+ * @param reason of the refusal
  */
-void retryConnect(Gateway &gateway, Exchange &exchange, std::optional<TimePoint> earliest);
+void retryConnect(Gateway &gateway, Exchange &exchange, std::optional<TimePoint> earliest, Reason reason = Reason::ConnectFailed);
 /** Sizes in bytes of the results of @p stages, by the failure domain of the replicas that hold them. */
 BytesByDomain resultBytesByDomain(Gateway &gateway, const Exchange &exchange, const std::vector<size_t> &stages);
 /** Failure domain of the replica that the request is expected to run on; empty when there is none. */
@@ -543,6 +550,7 @@
     std::map<std::string, Upstream> m_upstreams; ///< by replica id
     std::map<std::string, std::vector<std::string>> m_replicasByService;
     ConnectionCounts m_connectionCounts;
+    TimePoint m_startedAt;
     size_t m_largestMembership = 1; ///< since the start: the membership at which connections are found to be scarce
     std::map<std::string, RetryBudget> m_retryBudgets; ///< by service
     std::map<std::string, SizeMean> m_sizes; ///< by route
--- a/src/gateway_run.cpp
+++ b/src/gateway_run.cpp
@@ -73,6 +73,10 @@
     addGauge(registry, "medlarramp_connections_opened", "Connections to replicas", static_cast<double>(connections.m_opened));
     addGauge(
         registry, "medlarramp_connections_reused", "Calls on an idle connection to a replica", static_cast<double>(connections.m_reused));
+    addGauge(registry,
+             "medlarramp_connections_refused_by_share",
+             "Requests that were refused because all connections of this gateway's share were in use",
+             static_cast<double>(connections.m_refusedByShare));
     addGauge(registry,
              "medlarramp_stage_answer_copies",
              "Copies of earlier answers to stage calls that were dropped",
@@ -302,6 +306,7 @@
     gateway.m_settings = settings;
     gateway.m_settingsPath = settingsPath;
     gateway.m_clock = &clock;
+    gateway.m_startedAt = gatewayNow(gateway);
     gateway.m_random.m_state = entropySeed();
     initLoop(gateway.m_loop, clock);
     const std::optional<SocketAddress> store = parseSocketAddress(settings.m_storeAddress);
--- a/src/gateway_stages.cpp
+++ b/src/gateway_stages.cpp
@@ -391,7 +391,12 @@
         upstream.m_handles = handlesIn;
     }
     const ConnectionUse use = isReused ? ConnectionUse::Pooled : ConnectionUse::Fresh;
-    const uint64_t number = startCall(gateway, call.m_replica, std::move(upstream), use)->m_number;
+    const UpstreamCall *started = startCall(gateway, call.m_replica, std::move(upstream), use);
+    if (started == nullptr) {
+        failCall(gateway, owned, call, PieceFailure::NotSent);
+        return;
+    }
+    const uint64_t number = started->m_number;
     timer->start(gateway.m_loop, callTimeout(owned.m_queue, call), [&gateway, &owned, call, number] {
         cancelCall(gateway, number);
         failCall(gateway, owned, call, PieceFailure::Lost);
--- a/src/gateway_upstreams.cpp
+++ b/src/gateway_upstreams.cpp
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <charconv>
+#include <limits>
 
 #include <fmt/format.h>
 
@@ -273,6 +274,21 @@
     }
 }
 
+/** Lowers the share of this gateway for a while: the replica takes fewer connections than its limit while its queue is long. */
+void lowerShare(Gateway &gateway, Upstream &upstream, bool isReset)
+{
+    if (!isScarce(gateway, upstream.m_record.m_service)) {
+        return;
+    }
+    upstream.m_shareLoweredUntil = gatewayNow(gateway) + LoweredShareTime;
+    writeLog(LogLevel::Info,
+             "registry",
+             "Replica refused a connection; share of its connections lowered.",
+             {{"replica", upstream.m_record.m_id},
+              {"connections", fmt::format("{}", upstream.m_connections)},
+              {"reset", isReset ? "yes" : "no"}});
+}
+
 /** Records a connection that the replica has refused or reset at once. */
 void observeClose(Gateway &gateway, const UpstreamConnection &connection)
 {
@@ -282,6 +298,7 @@
     const bool isRefused = !hasAnswered && (!connection.m_connectedAt || now - *connection.m_connectedAt < ResetAfterConnect);
     if (upstream != nullptr && isRefused) {
         observeConnectFailure(upstream->m_connects, connection.m_openedAt, gateway.m_random, now);
+        lowerShare(gateway, *upstream, connection.m_connectedAt.has_value());
     }
 }
 
@@ -364,6 +381,44 @@
     return connection;
 }
 
+/**
+ * Number of connections that this gateway may have to a replica. Stage services have no shares, as only the owner of their queue calls
+ * them; the number of its open calls is bounded by the queue.
+ */
+int shareOf(Gateway &gateway, const Upstream &upstream)
+{
+    const std::string &service = upstream.m_record.m_service;
+    const ServingService *definition = gateway.m_configuration ? findService(*gateway.m_configuration, service) : nullptr;
+    if (definition == nullptr || definition->m_pieces || !isScarce(gateway, service)) {
+        return std::numeric_limits<int>::max();
+    }
+    const TimePoint now = gatewayNow(gateway);
+    const size_t gateways = memberCount(gateway.m_membership, now);
+    return connectionShare(definition->m_maxConnections, gateways, now - gateway.m_startedAt, upstream.m_shareLoweredUntil, now);
+}
+
+void assignRingPositions(Gateway &gateway)
+{
+    for (const auto &[service, ids] : gateway.m_replicasByService) {
+        std::vector<std::pair<uint64_t, std::string>> ring;
+        for (const std::string &id : ids) {
+            ring.emplace_back(hash64(id), id);
+        }
+        std::sort(ring.begin(), ring.end());
+        for (size_t i = 0; i < ring.size(); ++i) {
+            gateway.m_upstreams.at(ring[i].second).m_ringPosition = i;
+        }
+    }
+}
+
+/** Closes idle connections, the least recently used first, until @p limit or only used ones are left. */
+void closeBeyond(Gateway &gateway, Upstream &upstream, int limit)
+{
+    while (upstream.m_connections > limit && !upstream.m_idle.empty()) {
+        closeUpstream(gateway, upstream.m_idle.front());
+    }
+}
+
 bool mayCarry(Gateway &gateway, const UpstreamConnection &connection, ConnectionUse use, bool isScarceService)
 {
     IdleConnection idle;
@@ -402,6 +457,11 @@
     return definition != nullptr && hasScarceConnections(definition->m_maxConnections, gateway.m_largestMembership);
 }
 
+bool isWithinShare(Gateway &gateway, const Upstream &upstream)
+{
+    return upstream.m_connections - static_cast<int>(upstream.m_idle.size()) < shareOf(gateway, upstream);
+}
+
 bool hasReusable(Gateway &gateway, const Upstream &upstream, ConnectionUse use, bool isScarceService)
 {
     return std::any_of(upstream.m_idle.begin(), upstream.m_idle.end(), [&](const UpstreamConnection *connection) {
@@ -409,23 +469,20 @@
     });
 }
 
-std::set<std::string> preferredReplicas(Gateway &gateway, const std::string &service)
+size_t memberIndex(const Gateway &gateway)
 {
-    std::vector<std::string> ids = gateway.m_replicasByService[service];
-    std::sort(ids.begin(), ids.end(), [](const std::string &left, const std::string &right) { return hash64(left) < hash64(right); });
     const auto &members = gateway.m_membership.m_members;
-    const auto index = static_cast<size_t>(std::distance(members.begin(), members.find(gateway.m_settings.m_node)));
-    std::set<std::string> preferred;
-    for (size_t i = 0; i < ids.size(); ++i) {
-        if (isPreferred(i, ids.size(), index)) {
-            preferred.insert(ids[i]);
-        }
-    }
-    return preferred;
+    return static_cast<size_t>(std::distance(members.begin(), members.find(gateway.m_settings.m_node)));
 }
 
 UpstreamCall *startCall(Gateway &gateway, const std::string &replica, UpstreamCall prototype, ConnectionUse use)
 {
+    Upstream &upstream = gateway.m_upstreams.at(replica);
+    UpstreamConnection *connection = takeIdle(gateway, upstream, prototype, use);
+    const bool reused = connection != nullptr;
+    if (!reused && !isWithinShare(gateway, upstream)) {
+        return nullptr;
+    }
     auto owned = std::make_unique<UpstreamCall>(std::move(prototype));
     UpstreamCall *call = owned.get();
     call->m_number = gateway.m_nextNumber++;
@@ -433,10 +490,8 @@
     call->m_startedAt = gatewayNow(gateway);
     call->m_lastByteAt = call->m_startedAt;
     gateway.m_calls.emplace(call->m_number, std::move(owned));
-    Upstream &upstream = gateway.m_upstreams.at(replica);
-    UpstreamConnection *connection = takeIdle(gateway, upstream, *call, use);
-    const bool reused = connection != nullptr;
     if (!reused) {
+        closeBeyond(gateway, upstream, shareOf(gateway, upstream) - 1);
         connection = openConnection(gateway, upstream);
     }
     connection->m_call = call;
@@ -497,6 +552,7 @@
     for (auto &[service, ids] : gateway.m_replicasByService) {
         std::erase_if(ids, [&gateway](const std::string &id) { return !gateway.m_upstreams.contains(id); });
     }
+    assignRingPositions(gateway);
     std::vector<UpstreamConnection *> unused;
     for (auto &[id, upstream] : gateway.m_upstreams) {
         if (!upstream.m_registered) {
@@ -514,6 +570,7 @@
 {
     std::vector<UpstreamConnection *> expired;
     for (auto &[id, upstream] : gateway.m_upstreams) {
+        closeBeyond(gateway, upstream, shareOf(gateway, upstream));
         for (UpstreamConnection *connection : upstream.m_idle) {
             if (gatewayNow(gateway) - connection->m_idleSince >= connection->m_idleLimit) {
                 expired.push_back(connection);
--- a/src/serving.h
+++ b/src/serving.h
@@ -826,6 +826,23 @@
  */
 double connectionCost(bool hasIdle, bool isPreferred, Random &random);
 
+constexpr Duration LoweredShareTime = seconds(2); ///< the share is lower for this time after a replica has refused or reset a connection
+/**
+ * After its start, a gateway holds one connection to each replica for this time: the others may count it late, and they may hold
+ * connections of their larger shares until the last deadline of a request.
+ */
+constexpr Duration ShareSettlingTime = MemberCountWindow;
+constexpr int JoinReserve = 8; ///< one part in this number of a replica's connections is left for gateways that join
+
+/**
+ * Number of connections that a gateway may have to one replica, idle ones included; at least 1.
+ * @param gateways result of memberCount()
+ * @param loweredUntil end of LoweredShareTime
+ */
+int connectionShare(int maxConnections, size_t gateways, Duration sinceStart, TimePoint loweredUntil, TimePoint now);
+/** When a request tries again that found all connections of its share in use, @p waits times so far. */
+TimePoint nextShareCheck(int waits, Random &random, TimePoint now);
+
 //-----------------------------------------------------------------------------
 // [SECTION] Crashes
 //-----------------------------------------------------------------------------
--- a/src/serving_connections.cpp
+++ b/src/serving_connections.cpp
@@ -6,10 +6,11 @@
 
 namespace {
 
-// Together they are below the cost of reading 500 prompt tokens, so that they decide only among replicas of about equal cost.
-constexpr double NewConnectionCost = 0.004; ///< seconds; 1 ms of the replica's time, a round trip, and its price
-constexpr double NotPreferredCost = 0.004; ///< seconds
-constexpr double RandomCost = 0.001; ///< seconds
+// They decide among replicas of about equal cost: together they are the cost of reading 700 prompt tokens. With a smaller random part, a
+// gateway stays with the replicas that it used first, and the load of the replicas differs by more than 20 %.
+constexpr double NewConnectionCost = 0.002; ///< seconds; 1 ms of the replica's time, a round trip, and its price
+constexpr double NotPreferredCost = 0.006; ///< seconds
+constexpr double RandomCost = 0.006; ///< seconds
 
 /** Position of the first handle that is not empty; the number of handles when there is none. */
 size_t firstHandle(const std::vector<std::string> &handles)
@@ -132,4 +133,20 @@
     return (hasIdle ? 0 : NewConnectionCost) + (isPreferred ? 0 : NotPreferredCost) + RandomCost * uniformReal(random);
 }
 
+int connectionShare(int maxConnections, size_t gateways, Duration sinceStart, TimePoint loweredUntil, TimePoint now)
+{
+    if (sinceStart < ShareSettlingTime) {
+        return 1;
+    }
+    const int shared = maxConnections - maxConnections / JoinReserve;
+    const int share = shared / static_cast<int>(std::max<size_t>(1, gateways));
+    return std::max(1, now < loweredUntil ? share - 1 : share);
+}
+
+TimePoint nextShareCheck(int waits, Random &random, TimePoint now)
+{
+    constexpr int MaxGrowth = 3; // up to 80 ms, as a connection becomes free with the end of any request
+    return now + connectPause(std::min(waits + 1, MaxGrowth), random);
+}
+
 } // namespace Medlarramp::Serving
--- a/tests/test_connections.cpp
+++ b/tests/test_connections.cpp
@@ -1,3 +1,5 @@
+#include <queue>
+
 #include <linux/filter.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
@@ -10,6 +12,233 @@
 using namespace Medlarramp;
 using namespace Medlarramp::Serving;
 
+namespace {
+
+/** Gateways and replicas on virtual time; the gateways use the decisions on connections. */
+class VirtualFleet
+{
+public:
+    struct Settings {
+        size_t m_replicas = 7;
+        int m_slots = 6;
+        int m_maxConnections = 240;
+        double m_rate = 5; ///< requests per second and gateway
+        Duration m_meanHold = seconds(1); ///< of the time that a request takes
+        bool m_isPrompt = false; ///< placed by placePrompt(), without shared parts
+    };
+
+    VirtualFleet(const Settings &settings, uint64_t seed) : m_settings(settings), m_random{seed}, m_requests(settings.m_replicas)
+    {
+    }
+
+    /** Adds gateways that are settled or start now. */
+    void join(size_t count, bool isSettled)
+    {
+        for (size_t i = 0; i < count; ++i) {
+            Gateway &gateway = m_gateways.emplace_back();
+            gateway.m_member.m_node = fmt::format("g{:04}", m_gateways.size());
+            gateway.m_startedAt = isSettled ? m_now - ShareSettlingTime : m_now;
+            gateway.m_membership.m_self = gateway.m_member;
+            gateway.m_replicas.resize(m_settings.m_replicas);
+        }
+        announce();
+        for (Gateway &gateway : m_gateways) {
+            if (gateway.m_startedAt == m_now || isSettled) {
+                replaceMembers(gateway.m_membership, members(), m_now); // listed before the first request
+            }
+        }
+    }
+
+    /** Ends the last @p count live gateways, and with them their connections. */
+    void die(size_t count)
+    {
+        for (auto gateway = m_gateways.rbegin(); gateway != m_gateways.rend() && count > 0; ++gateway) {
+            count -= gateway->m_isAlive ? 1 : 0;
+            gateway->m_isAlive = false;
+        }
+        announce();
+    }
+
+    /** The first @p count gateways learn of no more changes of the membership. */
+    void partition(size_t count)
+    {
+        for (size_t i = 0; i < count; ++i) {
+            m_gateways[i].m_isPartitioned = true;
+        }
+    }
+
+    void run(Duration duration)
+    {
+        constexpr Duration Step = milliseconds(10);
+        for (const TimePoint end = m_now + duration; m_now < end; m_now += Step) {
+            for (Gateway &gateway : m_gateways) {
+                if (gateway.m_isAlive) {
+                    runGateway(gateway, Step);
+                }
+            }
+            checkLimit();
+        }
+    }
+
+    /** Number of requests that got a replica, by replica. */
+    const std::vector<int64_t> &requests() const
+    {
+        return m_requests;
+    }
+
+    double opened() const
+    {
+        return static_cast<double>(m_opened);
+    }
+
+    int most() const
+    {
+        return m_most;
+    }
+
+private:
+    struct Replica {
+        int m_busy = 0;
+        std::vector<TimePoint> m_idle; ///< since when, oldest first
+    };
+
+    struct Gateway {
+        Member m_member;
+        Membership m_membership;
+        TimePoint m_startedAt;
+        bool m_isAlive = true;
+        bool m_isPartitioned = false;
+        std::optional<TimePoint> m_readAt; ///< when the last change of the membership is read
+        std::vector<Replica> m_replicas;
+        std::priority_queue<std::pair<int64_t, size_t>, std::vector<std::pair<int64_t, size_t>>, std::greater<>> m_ends;
+    };
+
+    std::vector<Member> members() const
+    {
+        std::vector<Member> members;
+        for (const Gateway &gateway : m_gateways) {
+            if (gateway.m_isAlive) {
+                members.push_back(gateway.m_member);
+            }
+        }
+        return members;
+    }
+
+    void announce()
+    {
+        for (Gateway &gateway : m_gateways) {
+            gateway.m_readAt = m_now + milliseconds(static_cast<int64_t>(2000 * uniformReal(m_random)));
+        }
+    }
+
+    int share(Gateway &gateway) const
+    {
+        const size_t count = memberCount(gateway.m_membership, m_now);
+        return connectionShare(m_settings.m_maxConnections, count, m_now - gateway.m_startedAt, TimePoint(), m_now);
+    }
+
+    static int held(const Replica &replica)
+    {
+        return replica.m_busy + static_cast<int>(replica.m_idle.size());
+    }
+
+    void runGateway(Gateway &gateway, Duration step)
+    {
+        if (gateway.m_readAt && *gateway.m_readAt <= m_now && !gateway.m_isPartitioned) {
+            replaceMembers(gateway.m_membership, members(), m_now);
+            gateway.m_readAt.reset();
+        }
+        while (!gateway.m_ends.empty() && gateway.m_ends.top().first <= m_now.time_since_epoch().count()) {
+            Replica &replica = gateway.m_replicas[gateway.m_ends.top().second];
+            gateway.m_ends.pop();
+            replica.m_busy -= 1;
+            replica.m_idle.push_back(m_now);
+        }
+        constexpr Duration IdleLimit = seconds(3); // of a Keep-Alive time of 4 s
+        const int limit = share(gateway);
+        for (Replica &replica : gateway.m_replicas) {
+            while (!replica.m_idle.empty() && (m_now - replica.m_idle.front() >= IdleLimit || held(replica) > limit)) {
+                replica.m_idle.erase(replica.m_idle.begin());
+            }
+        }
+        const double expected = m_settings.m_rate * static_cast<double>(step.count()) / 1e6;
+        for (double chance = expected; chance > 0; chance -= 1) {
+            if (uniformReal(m_random) < chance) {
+                place(gateway, limit);
+            }
+        }
+    }
+
+    void place(Gateway &gateway, int limit)
+    {
+        const auto &nodes = gateway.m_membership.m_members;
+        const auto index = static_cast<size_t>(std::distance(nodes.begin(), nodes.find(gateway.m_member.m_node)));
+        std::vector<ReplicaView> views;
+        std::vector<size_t> positions;
+        for (size_t i = 0; i < gateway.m_replicas.size(); ++i) {
+            const Replica &replica = gateway.m_replicas[i];
+            if (replica.m_idle.empty() && replica.m_busy >= limit) {
+                continue;
+            }
+            ReplicaView view;
+            view.m_slots = m_settings.m_slots;
+            view.m_running = replica.m_busy;
+            view.m_connectionCost = connectionCost(!replica.m_idle.empty(), isPreferred(i, gateway.m_replicas.size(), index), m_random);
+            views.push_back(std::move(view));
+            positions.push_back(i);
+        }
+        PlacementRequest request;
+        const std::optional<size_t> chosen = m_settings.m_isPrompt ? placePrompt(views, request) : placePlain(views, request, m_random);
+        if (!chosen) {
+            return; // all connections of the share are in use
+        }
+        const size_t position = positions[*chosen];
+        Replica &replica = gateway.m_replicas[position];
+        if (replica.m_idle.empty()) {
+            m_opened += 1;
+        } else {
+            replica.m_idle.pop_back();
+        }
+        replica.m_busy += 1;
+        m_requests[position] += 1;
+        const double hold = std::min(12e6, -std::log(1 - uniformReal(m_random)) * static_cast<double>(m_settings.m_meanHold.count()));
+        gateway.m_ends.emplace((m_now + Duration(static_cast<int64_t>(hold))).time_since_epoch().count(), position);
+    }
+
+    void checkLimit()
+    {
+        for (size_t i = 0; i < m_settings.m_replicas; ++i) {
+            int connections = 0;
+            for (const Gateway &gateway : m_gateways) {
+                connections += gateway.m_isAlive && !gateway.m_isPartitioned ? held(gateway.m_replicas[i]) : 0;
+            }
+            m_most = std::max(m_most, connections);
+        }
+    }
+
+    Settings m_settings;
+    Random m_random;
+    TimePoint m_now{seconds(1000)};
+    std::deque<Gateway> m_gateways;
+    std::vector<int64_t> m_requests;
+    int64_t m_opened = 0;
+    int m_most = 0;
+};
+
+/** The least and the largest number in @p counts, as shares of their mean. */
+std::pair<double, double> spread(const std::vector<int64_t> &counts)
+{
+    double sum = 0;
+    for (const int64_t count : counts) {
+        sum += static_cast<double>(count);
+    }
+    const double mean = sum / static_cast<double>(counts.size());
+    const auto [least, most] = std::minmax_element(counts.begin(), counts.end());
+    return {static_cast<double>(*least) / mean, static_cast<double>(*most) / mean};
+}
+
+} // namespace
+
 /** Connections of gateways to replicas: retries of refused ones, reuse, and shares of a replica's limit. */
 class ConnectionsTest : public CppUnit::TestFixture
 {
@@ -29,6 +258,11 @@
     CPPUNIT_TEST(stageCallsShareConnections);
     CPPUNIT_TEST(lateCopyOfAStageAnswerIsDropped);
     CPPUNIT_TEST(stageCallsUseNewConnectionsWhenTheseAreNotScarce);
+    CPPUNIT_TEST(sharesDependOnTheMembership);
+    CPPUNIT_TEST(limitIsKeptWhileGatewaysDieAndJoin);
+    CPPUNIT_TEST(fewConnectionsAreOpenedAndLoadIsEven);
+    CPPUNIT_TEST(requestsBeyondTheShareWait);
+    CPPUNIT_TEST(requestsBeyondTheShareAreRefusedAtTheirDeadline);
     CPPUNIT_TEST_SUITE_END();
 
     // Guards against a pause that does not grow, that ends for all waiting requests at once, or that grows with connections that failed
@@ -396,6 +630,122 @@
         }
         CPPUNIT_ASSERT(stage.m_connections >= 4);
     }
+
+    // Guards against shares that together exceed the limit of a replica, and against a share of none.
+    void sharesDependOnTheMembership()
+    {
+        const TimePoint now{seconds(100)};
+        const auto share = [now](int limit, size_t gateways) {
+            return connectionShare(limit, gateways, ShareSettlingTime, TimePoint(), now);
+        };
+        CPPUNIT_ASSERT_EQUAL(2, share(240, 87));
+        CPPUNIT_ASSERT_EQUAL(2, share(250, 91));
+        CPPUNIT_ASSERT_EQUAL(1, share(120, 87));
+        CPPUNIT_ASSERT_EQUAL(3, share(240, 57));
+        CPPUNIT_ASSERT_EQUAL(1, share(240, 295));
+        CPPUNIT_ASSERT_EQUAL(1, connectionShare(240, 57, ShareSettlingTime - milliseconds(1), TimePoint(), now));
+        CPPUNIT_ASSERT_EQUAL(2, connectionShare(240, 57, ShareSettlingTime, now + milliseconds(1), now));
+        CPPUNIT_ASSERT_EQUAL(1, connectionShare(240, 120, ShareSettlingTime, now + milliseconds(1), now));
+        for (size_t gateways = 1; gateways <= 210; ++gateways) {
+            const int total = share(240, gateways) * static_cast<int>(gateways);
+            CPPUNIT_ASSERT_MESSAGE(fmt::format("{} gateways", gateways), total + 30 <= 240);
+        }
+    }
+
+    // Guards against more connections than a replica accepts while gateways with more demand than their shares die and join, with
+    // views of the membership that differ for up to 2 s; and against replicas that get little.
+    void limitIsKeptWhileGatewaysDieAndJoin()
+    {
+        for (uint64_t seed = 1; seed <= 10; ++seed) {
+            VirtualFleet::Settings settings;
+            settings.m_rate = 40;
+            VirtualFleet fleet(settings, seed);
+            fleet.join(87, true);
+            fleet.run(seconds(10));
+            fleet.die(30);
+            fleet.run(seconds(5));
+            if (seed % 2 == 0) {
+                fleet.partition(5);
+            }
+            fleet.run(seconds(25));
+            fleet.join(30, false);
+            fleet.run(seconds(30));
+            fleet.join(30, false);
+            fleet.run(seconds(30));
+            CPPUNIT_ASSERT_MESSAGE(fmt::format("seed {}: {} connections", seed, fleet.most()), fleet.most() <= 240);
+            CPPUNIT_ASSERT_MESSAGE(fmt::format("seed {}: {} connections", seed, fleet.most()), fleet.most() >= 150);
+            const auto [least, most] = spread(fleet.requests());
+            CPPUNIT_ASSERT_MESSAGE(fmt::format("seed {}: {:.2f} to {:.2f}", seed, least, most), least >= 0.8 && most <= 1.2);
+        }
+    }
+
+    // Guards against a new connection for most requests, and against replicas that get many requests because they have idle connections.
+    void fewConnectionsAreOpenedAndLoadIsEven()
+    {
+        for (uint64_t seed = 1; seed <= 3; ++seed) {
+            VirtualFleet::Settings settings;
+            settings.m_replicas = 112;
+            settings.m_slots = 16;
+            settings.m_isPrompt = true;
+            VirtualFleet fleet(settings, seed);
+            fleet.join(87, true);
+            fleet.run(seconds(60));
+            fleet.die(30);
+            fleet.run(seconds(40));
+            fleet.join(30, false);
+            fleet.run(seconds(100));
+            double requests = 0;
+            for (const int64_t count : fleet.requests()) {
+                requests += static_cast<double>(count);
+            }
+            CPPUNIT_ASSERT_MESSAGE(fmt::format("seed {}: {:.3f} per request", seed, fleet.opened() / requests),
+                                   fleet.opened() <= 0.3 * requests);
+            const auto [least, most] = spread(fleet.requests());
+            CPPUNIT_ASSERT_MESSAGE(fmt::format("seed {}: {:.2f} to {:.2f}", seed, least, most), least >= 0.8 && most <= 1.2);
+            CPPUNIT_ASSERT(fleet.most() <= 240);
+        }
+    }
+
+    // Guards against a connection beyond the share, and against a refusal while one becomes free in time.
+    void requestsBeyondTheShareWait()
+    {
+        GatewayHarness harness;
+        FakeServer replica;
+        std::list<NetTimer> timers;
+        replica.start(harness.m_loop, [&](FakeServer &, const std::shared_ptr<ReceivedRequest> &request) {
+            timers.emplace_back().start(harness.m_loop, milliseconds(200), [request] {
+                reply(request, formatAnswer(200, replicaHeaders(request), "whole", true));
+            });
+        });
+        const GatewayHarness::Process &gateway = startWithLimit(harness, 3, {{"i-1", "plain", &replica}});
+        constexpr int Requests = 4;
+        std::vector<Caller *> callers;
+        callers.reserve(Requests);
+        for (int i = 0; i < Requests; ++i) {
+            callers.push_back(&harness.send(gateway, "POST", "/plain/1", fmt::format("a{}", i)));
+        }
+        for (const Caller *caller : callers) {
+            harness.runUntil("answer", [&] { return caller->isAnswered() || caller->m_closed; });
+            CPPUNIT_ASSERT_EQUAL(200, caller->m_reader.m_status);
+        }
+        CPPUNIT_ASSERT_EQUAL(1, replica.m_connections); // the share of a gateway that has just started
+        CPPUNIT_ASSERT_EQUAL(size_t(4), replica.m_requests.size());
+    }
+
+    // Guards against a refusal that is not counted, and against a refused request that runs.
+    void requestsBeyondTheShareAreRefusedAtTheirDeadline()
+    {
+        GatewayHarness harness;
+        FakeServer replica;
+        replica.start(harness.m_loop, [](FakeServer &, const std::shared_ptr<ReceivedRequest> &) {});
+        const GatewayHarness::Process &gateway = startWithLimit(harness, 3, {{"i-1", "plain", &replica}});
+        harness.send(gateway, "POST", "/plain/1", "a1");
+        harness.runUntil("the first request", [&] { return replica.m_requests.size() == 1; });
+        CPPUNIT_ASSERT_EQUAL(503, ask(harness, gateway, "/plain/1", "a2", {{"X-Deadline-Ms", "400"}}).m_reader.m_status);
+        CPPUNIT_ASSERT_EQUAL(size_t(1), replica.m_requests.size());
+        CPPUNIT_ASSERT_EQUAL(1.0, metric(harness, gateway, "medlarramp_connections_refused_by_share"));
+        CPPUNIT_ASSERT_EQUAL(1.0, metric(harness, gateway, "medlarramp_refusals_total{reason=\"too_many_connections\"}"));
+    }
 };
 
 CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(ConnectionsTest, "connections");
