Add the decisions about a key-value store that was restored from a backup

StoreVersion puts era and revision into one value. An item counts as written again in a new era when its version is above the first one seen in it; until then, departures, drains, evacuations and their ends, and members stay as they were known.

--- a/src/serving.h
+++ b/src/serving.h
@@ -6,6 +6,7 @@
  * Index of sections:
  *  [SECTION] Settings       start-up settings of one gateway process
  *  [SECTION] Configuration  one version of routes, services, organisations and limits
+ *  [SECTION] Store versions the era and revision of what was read from the key-value store
  *  [SECTION] Registry       the registered replicas, from the events of the key-value store
  *  [SECTION] Membership     the live gateways and the owner of each service's queue
  *  [SECTION] Plan           the stages of one request and which of them can be submitted
@@ -14,10 +15,12 @@
  *  [SECTION] Placement      choice of the replica for a request
  *  [SECTION] Retries        the retry budget and the step after a failed attempt
  *  [SECTION] Crashes        requests and prompt parts that crash replicas
+ *  [SECTION] Store era      what a restoration of the key-value store from a backup changes
  *
  * Decisions are free functions over plain structs; time and seed are parameters.
  */
 
+#include <compare>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -184,6 +187,41 @@
 /** Whether @p candidate replaces @p current, which may be null: only a higher version does. */
 bool isNewer(const ServingConfiguration *current, const ServingConfiguration &candidate);
 
+//-----------------------------------------------------------------------------
+// [SECTION] Store versions
+//-----------------------------------------------------------------------------
+
+/**
+ * A revision of the key-value store together with the era in which it was assigned. A store that is restored from a backup begins
+ * a new era and assigns revisions again, so a revision has no meaning without its era. Versions are ordered by era, then revision.
+ */
+class StoreVersion
+{
+public:
+    StoreVersion() = default;
+    StoreVersion(int64_t era, int64_t revision) : m_era(era), m_revision(revision)
+    {
+    }
+
+    [[nodiscard]] int64_t era() const
+    {
+        return m_era;
+    }
+    /** For messages and logs; compare versions instead. */
+    [[nodiscard]] int64_t revision() const
+    {
+        return m_revision;
+    }
+    /** Advances to a later revision of the same era. A version of another era is not taken: only a new listing may change the era. */
+    bool advanceTo(const StoreVersion &seen);
+
+    auto operator<=>(const StoreVersion &) const = default;
+
+private:
+    int64_t m_era = 0;
+    int64_t m_revision = 0;
+};
+
 //-----------------------------------------------------------------------------
 // [SECTION] Registry
 //-----------------------------------------------------------------------------
@@ -211,6 +249,8 @@
 struct RegisteredReplica {
     ReplicaRecord m_record;
     std::optional<TimePoint> m_removeAt; ///< set while the registration is missing from the store
+    StoreVersion m_version; ///< of the item in the store; its era is the last one in which the store had the item
+    bool m_isKept = false; ///< missing from a store that was restored: used as before until m_removeAt
 
     bool operator==(const RegisteredReplica &) const = default;
 };
@@ -224,8 +264,27 @@
     bool operator==(const ReplicaNotice &) const = default;
 };
 
+/** A replica or member that has left. */
+struct Departure {
+    int64_t m_incarnation = 0; ///< that has left, and with it all earlier ones of a replica
+    TimePoint m_at;
+
+    bool operator==(const Departure &) const = default;
+};
+
+/** What is known of the operator's request to evacuate a failure domain. */
+struct Evacuation {
+    bool m_isInForce = false;
+    StoreVersion m_version; ///< of the operator's write or removal; the lowest version when only a backup told of it
+    int64_t m_listedEra = -1; ///< last era in which the store had the key
+
+    bool operator==(const Evacuation &) const = default;
+};
+
 struct Registry {
     std::map<std::string, RegisteredReplica> m_replicas; ///< by id
+    std::map<std::string, Departure> m_departed; ///< by id, for DepartureMemory
+    std::map<std::string, Evacuation> m_evacuations; ///< by failure domain, also those that have ended
     std::map<std::string, ReplicaNotice> m_notices; ///< by id of the replica
     std::set<std::string> m_evacuatedDomains; ///< failure domains whose replicas get nothing, as the operator asked
     std::optional<TimePoint> m_storeUnavailableSince; ///< start of the first failed call since the last successful one
@@ -240,6 +299,10 @@
 void observeStoreFailure(Registry &registry, TimePoint startedAt);
 void observeStoreSuccess(Registry &registry, TimePoint now);
 void upsertReplica(Registry &registry, ReplicaRecord record);
+/** Remembers that the incarnation of @p id has left. */
+void recordDeparture(std::map<std::string, Departure> &departed, const std::string &id, int64_t incarnation, TimePoint now);
+/** Removes a registration and remembers that the replica has left. */
+void eraseReplica(Registry &registry, const std::string &id, TimePoint now);
 /** Removes a registration, or schedules its removal when an outage of the store may have ended less than RegistrationGrace ago. */
 void removeReplica(Registry &registry, const std::string &id, TimePoint now);
 /** Applies a full listing of the store: adds and updates @p records and removes all other registrations by removeReplica(). */
@@ -725,4 +788,113 @@
 /** Refuses @p suspects for @p timeLeft at most, as another gateway does. @return those that were not refused before. */
 CrashSuspects applyRefusals(CrashEvidence &evidence, const CrashSuspects &suspects, Duration timeLeft, TimePoint now);
 
+//-----------------------------------------------------------------------------
+// [SECTION] Store era
+//
+// Load: one restoration of the store, seen by up to 295 gateways within a few seconds, with up to some hundred registrations each.
+//-----------------------------------------------------------------------------
+
+/** The era of the key-value store and what tells the items of a backup from those that were written after its restoration. */
+struct StoreEra {
+    int64_t m_era = 0;
+    bool m_isSettled = false; ///< an answer of the store has been taken
+    bool m_awaitsRevision = false; ///< the era has begun, and this gateway has seen no revision of it
+    /**
+     * The lowest version that this gateway or one of its peers has seen in the era. Items up to it may be of the backup. Nothing when
+     * none of them saw the era begin: all items count as written in it.
+     */
+    std::optional<StoreVersion> m_restored;
+    StoreVersion m_held; ///< newest item that was not applied because it may be of the backup
+    uint64_t m_ignored = 0; ///< answers whose era was unreadable or lower than the known one
+};
+
+enum class EraStep : uint8_t {
+    Current, ///< the answer belongs to the known era
+    Begins, ///< the store was restored: what was asked for before has no answer
+    Ignored, ///< counts as no answer
+};
+
+/** A larger step than this is taken for an unreadable era: no restoration could be noticed after it. */
+constexpr int64_t MaxEraStep = 1000;
+constexpr Duration DepartureMemory = seconds(120); ///< backups are some seconds old; what they have is not revived for this time
+constexpr size_t MaxDepartures = 4096; ///< the oldest is dropped beyond this
+constexpr size_t MaxEvacuations = 256; ///< evacuations that have ended are dropped beyond this
+/** Members that a restored store has lost are kept this long: a lease renewal, its timeout, and lease, item and retries again. */
+constexpr Duration MemberKeepTime = milliseconds(6000);
+
+/** Member of the membership as listed in the store. */
+struct ListedMember {
+    Member m_member;
+    StoreVersion m_version;
+    std::optional<TimePoint> m_removeAt; ///< set while the item is missing from a restored store
+
+    bool operator==(const ListedMember &) const = default;
+};
+
+struct MemberList {
+    std::map<std::string, ListedMember> m_members; ///< by key
+    std::map<std::string, Departure> m_departed; ///< by key, for DepartureMemory
+    std::optional<TimePoint> m_keptUntil; ///< end of the time that members have to register again
+};
+
+/** A replica that is known to have left or to drain, although a backup lists it as ready. */
+struct ReplicaHold {
+    std::string m_id;
+    int64_t m_incarnationStart = 0;
+    bool m_hasLeft = false; ///< otherwise it is draining
+
+    bool operator==(const ReplicaHold &) const = default;
+};
+
+/**
+ * Decides about an answer by its era. @param readable the era; nothing when the answer has one that can't be parsed
+ * @param isPresent whether the answer has an era; one without belongs to the known era
+ */
+EraStep observeEra(StoreEra &era, bool isPresent, std::optional<int64_t> readable);
+/** A new era has begun: registrations and members that the backup lacks get time to be written again. */
+void beginEra(StoreEra &era, Registry &registry, MemberList &members, TimePoint now);
+/** The first listing of an era gives the version up to which items may be of the backup. */
+void observeFirstVersion(StoreEra &era, const StoreVersion &seen);
+/** Takes a lower limit of the backup from a peer. @return whether an item was held back wrongly, so that the store has to be listed again.
+ */
+bool lowerRestored(StoreEra &era, Registry &registry, const StoreVersion &told);
+/** Whether an item may have been in the backup, so that it is no new write. */
+bool isOfBackup(const StoreEra &era, const StoreVersion &version);
+
+/** Applies a registration. One of the backup changes nothing that is known. @return false when it is ignored as the replica has left. */
+bool applyRegistration(Registry &registry, StoreEra &era, ReplicaRecord record, const StoreVersion &version);
+/** Applies a complete listing of registrations. Those that a restored store has lost are used until their grace period ends. */
+void applyRegistrations(Registry &registry, StoreEra &era, std::vector<std::pair<ReplicaRecord, StoreVersion>> records, TimePoint now);
+/** Replicas that other gateways must not take from a backup as ready. */
+std::vector<ReplicaHold> replicaHolds(const Registry &registry, const StoreEra &era, TimePoint now);
+/** Applies what a peer knows of a replica, unless the replica was written again. @return whether something has changed. */
+bool applyReplicaHold(Registry &registry, const StoreEra &era, const ReplicaHold &hold, TimePoint now);
+
+/** Applies an operator's key, listed or changed. One of the backup changes no known state. @return whether the evacuation began or ended.
+ */
+bool observeEvacuation(Registry &registry, StoreEra &era, const std::string &failureDomain, bool isInForce, const StoreVersion &version);
+/** Ends the evacuations whose keys are missing from a complete listing, unless only the backup lacks them. @return those that ended. */
+std::vector<std::string>
+endMissingEvacuations(Registry &registry, const StoreEra &era, const std::set<std::string> &listed, const StoreVersion &version);
+/** Applies what a peer knows of an evacuation: the later write of the operator counts. @return whether it began or ended. */
+bool mergeEvacuation(Registry &registry, const std::string &failureDomain, bool isInForce, const StoreVersion &version);
+
+/**
+ * Whether a configuration replaces the current one, which may be null: a higher version does, and other contents with the same
+ * version if the operator wrote them in a later era. @p candidateWrite of an item of the backup is the lowest version.
+ */
+bool replacesConfiguration(const ServingConfiguration *current,
+                           const StoreVersion &currentWrite,
+                           const ServingConfiguration &candidate,
+                           const StoreVersion &candidateWrite);
+/** The version of an operator's write for comparison with what peers know: the lowest one when it may be of the backup. */
+StoreVersion writeVersion(const StoreEra &era, const StoreVersion &version);
+
+void applyMemberItem(MemberList &members, StoreEra &era, const std::string &key, Member member, const StoreVersion &version);
+/** Removes a member. One that has not been written again since a restoration is kept until MemberList::m_keptUntil. */
+void removeMemberItem(MemberList &members, const StoreEra &era, const std::string &key, TimePoint now);
+void applyMemberItems(MemberList &members, StoreEra &era, std::vector<std::pair<std::string, ListedMember>> listed, TimePoint now);
+/** Removes the members whose removal time has come. @return the time of the next removal. */
+std::optional<TimePoint> expireMembers(MemberList &members, TimePoint now);
+
 } // namespace Medlarramp::Serving
--- a/src/serving_registry.cpp
+++ b/src/serving_registry.cpp
@@ -77,6 +77,17 @@
     RegisteredReplica &replica = registry.m_replicas[record.m_id];
     replica.m_record = std::move(record);
     replica.m_removeAt.reset();
+    replica.m_isKept = false;
+}
+
+void eraseReplica(Registry &registry, const std::string &id, TimePoint now)
+{
+    const auto replica = registry.m_replicas.find(id);
+    if (replica == registry.m_replicas.end()) {
+        return;
+    }
+    recordDeparture(registry.m_departed, id, replica->second.m_record.m_incarnationStart, now);
+    registry.m_replicas.erase(replica);
 }
 
 void removeReplica(Registry &registry, const std::string &id, TimePoint now)
@@ -86,8 +97,9 @@
         return;
     }
     const bool isWithinGrace = registry.m_storeRecoveredAt && now < *registry.m_storeRecoveredAt + RegistrationGrace;
+    replica->second.m_isKept = false;
     if (!isWithinGrace) {
-        registry.m_replicas.erase(replica);
+        eraseReplica(registry, id, now);
         return;
     }
     if (!replica->second.m_removeAt) {
@@ -119,6 +131,7 @@
     for (auto replica = registry.m_replicas.begin(); replica != registry.m_replicas.end();) {
         const std::optional<TimePoint> removeAt = replica->second.m_removeAt;
         if (removeAt && *removeAt <= now) {
+            recordDeparture(registry.m_departed, replica->first, replica->second.m_record.m_incarnationStart, now);
             replica = registry.m_replicas.erase(replica);
             continue;
         }
@@ -198,7 +211,7 @@
     std::map<std::string, std::vector<std::string>> missing;
     for (const auto &[id, replica] : registry.m_replicas) {
         if (acceptsWork(registry, id)) {
-            (replica.m_removeAt ? missing : usable)[replica.m_record.m_service].push_back(id);
+            (replica.m_removeAt && !replica.m_isKept ? missing : usable)[replica.m_record.m_service].push_back(id);
         }
     }
     for (const auto &[service, ids] : missing) {
