Follow a key-value store that is restored from a backup

The era in the header Store-Era of each answer is checked before the answer is used. When it increases, the store is listed again and lease and member are written anew. Gateways tell each other the newest configuration, evacuations, departures and drains that a backup lacks; a gateway that starts in an era above 0 asks peers before it is ready. Watch and gossip compare versions instead of bare revisions.

--- a/src/gateway_evacuation.cpp
+++ b/src/gateway_evacuation.cpp
@@ -4,23 +4,6 @@
 
 namespace {
 
-void logEvacuation(const std::string &failureDomain, bool begins, int64_t revision)
-{
-    writeLog(LogLevel::Info,
-             "registry",
-             begins ? "Evacuation of a failure domain began." : "Evacuation of a failure domain ended.",
-             {{"failure_domain", failureDomain}, {"revision", std::to_string(revision)}});
-}
-
-void setEvacuated(Gateway &gateway, const std::string &failureDomain, bool isEvacuated, int64_t revision)
-{
-    std::set<std::string> &domains = gateway.m_registry.m_evacuatedDomains;
-    const bool changed = isEvacuated ? domains.insert(failureDomain).second : domains.erase(failureDomain) > 0;
-    if (changed) {
-        logEvacuation(failureDomain, isEvacuated, revision);
-    }
-}
-
 /** The failure domain that a key names; counts and logs a key without one. */
 std::optional<std::string> evacuatedDomain(Gateway &gateway, const std::string &key)
 {
@@ -35,6 +18,14 @@
 
 } // namespace
 
+void logEvacuation(const std::string &failureDomain, bool begins, const StoreVersion &version)
+{
+    writeLog(LogLevel::Info,
+             "registry",
+             begins ? "Evacuation of a failure domain began." : "Evacuation of a failure domain ended.",
+             {{"failure_domain", failureDomain}, {"revision", std::to_string(version.revision())}, {"era", std::to_string(version.era())}});
+}
+
 void reportUnknownEvacuation(Gateway &gateway, const std::string &failureDomain)
 {
     for (const auto &[id, replica] : gateway.m_registry.m_replicas) {
@@ -55,7 +46,9 @@
     if (!failureDomain) {
         return;
     }
-    setEvacuated(gateway, *failureDomain, !item.m_removed, item.m_revision);
+    if (observeEvacuation(gateway.m_registry, gateway.m_store.m_era, *failureDomain, !item.m_removed, item.m_version)) {
+        logEvacuation(*failureDomain, !item.m_removed, item.m_version);
+    }
     if (!item.m_removed) {
         reportUnknownEvacuation(gateway, *failureDomain);
     }
@@ -63,18 +56,21 @@
 
 void replaceEvacuations(Gateway &gateway, const std::vector<Platform::StoreItem> &items)
 {
-    std::set<std::string> ended = gateway.m_registry.m_evacuatedDomains;
+    std::set<std::string> listed;
     for (const Platform::StoreItem &item : items) {
         if (item.m_key.compare(0, Platform::EvacuationPrefix.size(), Platform::EvacuationPrefix) != 0) {
             continue;
         }
         if (const std::optional<std::string> failureDomain = evacuatedDomain(gateway, item.m_key)) {
-            ended.erase(*failureDomain);
-            setEvacuated(gateway, *failureDomain, true, item.m_revision);
+            listed.insert(*failureDomain);
+            if (observeEvacuation(gateway.m_registry, gateway.m_store.m_era, *failureDomain, true, item.m_version)) {
+                logEvacuation(*failureDomain, true, item.m_version);
+            }
         }
     }
-    for (const std::string &failureDomain : ended) {
-        setEvacuated(gateway, failureDomain, false, gateway.m_store.m_watch.m_listRevision);
+    const StoreVersion version = gateway.m_store.m_watch.m_listVersion.value_or(StoreVersion());
+    for (const std::string &failureDomain : endMissingEvacuations(gateway.m_registry, gateway.m_store.m_era, listed, version)) {
+        logEvacuation(failureDomain, false, version);
     }
 }
 
--- a/src/gateway_internal.h
+++ b/src/gateway_internal.h
@@ -11,6 +11,7 @@
  *  [SECTION] Peers      messages between gateways
  *  [SECTION] Crashes    requests and prompt parts that crash replicas
  *  [SECTION] Store      client of the key-value store
+ *  [SECTION] Store era  what gateways tell each other after the store was restored
  *  [SECTION] Gateway    state of one gateway process
  */
 
@@ -303,9 +304,15 @@
     Cleared,
     Refused,
     Revision,
+    StateRequest,
+    State,
+    ConfigurationRequest,
+    Configuration,
     Count
 };
 
+constexpr size_t MaxPeerMessageBytes = 1024 * 1024;
+
 /** One message between gateways. Fields that a kind doesn't use stay empty. */
 struct PeerMessage {
     PeerKind m_kind = PeerKind::Ping;
@@ -329,6 +336,8 @@
     std::vector<uint64_t> m_parts; ///< crash, cleared and refused: ids of prompt parts
     std::vector<uint64_t> m_answeredParts; ///< crash: those of m_parts that replicas have answered before
     int64_t m_revision = 0; ///< revision: the newest revision of the key-value store that the sender has seen
+    int64_t m_era = 0; ///< era of m_revision, or the era of the store that the sender knows
+    std::string m_state; ///< revision, state and configuration: an encoded StoreState, see gateway_era.cpp
 
     template<typename Archive>
     void serialize(Archive &archive)
@@ -353,7 +362,9 @@
                 m_requests,
                 m_parts,
                 m_answeredParts,
-                m_revision);
+                m_revision,
+                m_era,
+                m_state);
     }
 };
 
@@ -412,13 +423,13 @@
     bool m_isCurrent = false; ///< nothing calls for a confirmation, see noticePause()
     bool m_isInterrupted = false; ///< a call has failed since the last answer
     bool m_isProven = false; ///< the last call was answered without events, so that the next one may wait for long
-    int64_t m_revision = 0; ///< the watch continues after this revision
+    StoreVersion m_version; ///< the watch continues after this version
     TimePoint m_answeredAt; ///< last answer of the store to the watch or its listings
     TimePoint m_nextEventsAt; ///< no call before, so that m_interval is kept
     size_t m_listing = 0; ///< index in StoreRanges of the listing that is read
     std::vector<Platform::StoreItem> m_page; ///< items of an incomplete listing
-    int64_t m_listRevision = 0; ///< revision of the first page of the first listing
-    int64_t m_toldRevision = 0; ///< newest revision that other gateways were told of
+    std::optional<StoreVersion> m_listVersion; ///< version of the first page of the first listing
+    StoreVersion m_toldVersion; ///< newest version that other gateways were told of
     TimePoint m_toldAt;
     NetTimer m_timer;
     NetTimer m_behindTimer; ///< until a revision that another gateway has seen must have arrived
@@ -435,7 +446,9 @@
     int64_t m_lease = 0; ///< lease id; 0: none
     NetTimer m_leaseTimer;
     NetTimer m_expiryTimer;
-    std::map<std::string, Member> m_members; ///< by key
+    NetTimer m_memberTimer; ///< until the next member that a restored store has lost is removed
+    MemberList m_members;
+    StoreEra m_era;
     StoreConnection *m_leaseConnection = nullptr;
 };
 
@@ -445,7 +458,16 @@
 /** Tells some other gateways the newest revision that the watch has seen, if there is a new one. */
 void gossipRevision(Gateway &gateway);
 /** Another gateway has seen @p revision: starts the watch again unless it gets there soon. */
-void handleRevision(Gateway &gateway, int64_t revision);
+void handleRevision(Gateway &gateway, const StoreVersion &seen);
+/** Reads all listings again, for instance as the store was restored. */
+void listAgain(Gateway &gateway);
+/** Applies the registry's changes to upstreams and queues, and logs those since @p before. */
+void applyRegistryChange(Gateway &gateway, const std::map<std::string, std::string_view> &before);
+/** Replaces the configuration if a decoded one is to replace it. */
+void adoptConfiguration(Gateway &gateway, const std::string &text, const StoreVersion &write);
+/** Other members in the order of the hashes of their names, from @p start on. */
+std::vector<std::string> membersFrom(const Gateway &gateway, uint64_t start);
+std::map<std::string, std::string_view> describeReplicas(const Registry &registry);
 /** Reads the changes of configuration, members and registrations at once, and holds new requests until the store has answered. */
 void refreshStore(Gateway &gateway);
 /** Applies the writing or removal of an operator's request to evacuate a failure domain. */
@@ -459,6 +481,32 @@
 /** Removes this gateway from the membership. */
 void leaveMembership(Gateway &gateway);
 
+//-----------------------------------------------------------------------------
+// [SECTION] Store era
+//
+// Gateways exchange what must outlast a restoration only when one of them has listed the store in an era above 0.
+//-----------------------------------------------------------------------------
+
+/** Questions to peers that are open, and what waits for them. */
+struct PeerQuery {
+    std::set<std::string> m_open; ///< nodes that have not answered
+    std::string m_configurationFrom; ///< node that was asked for its newer configuration; empty: none
+    bool m_isStart = false; ///< the gateway is not ready before the answers
+    int m_round = 0;
+    int m_answers = 0;
+    NetTimer m_timer;
+    NetTimer m_lateTimer; ///< until a change that a peer knows must have arrived from the store
+};
+
+/** Logs an evacuation that has begun or ended. */
+void logEvacuation(const std::string &failureDomain, bool begins, const StoreVersion &version);
+/** Asks some members for what they know from before the restoration. @param isStart the gateway is not ready before the answers */
+void askPeersForState(Gateway &gateway, bool isStart);
+/** Adds to a message of kind Revision what tells a peer that it lacks something. */
+void addStateSummary(const Gateway &gateway, PeerMessage &message);
+/** Handles the kinds Revision, StateRequest, State, ConfigurationRequest and Configuration. */
+void handleStateMessage(Gateway &gateway, const std::string &node, const PeerMessage &message);
+
 //-----------------------------------------------------------------------------
 // [SECTION] Gateway
 //-----------------------------------------------------------------------------
@@ -472,6 +520,9 @@
     Random m_random;
 
     std::shared_ptr<const ServingConfiguration> m_configuration;
+    StoreVersion m_configurationWrite; ///< of m_configuration; the lowest version when only a backup told of it
+    std::string m_configurationText; ///< m_configuration as the operator wrote it
+    PeerQuery m_peerQuery;
     Registry m_registry;
     Membership m_membership;
     std::map<std::string, Upstream> m_upstreams; ///< by replica id
--- a/src/gateway_peers.cpp
+++ b/src/gateway_peers.cpp
@@ -13,7 +13,6 @@
 
 namespace {
 
-constexpr size_t MaxPeerMessageBytes = 1024 * 1024;
 constexpr size_t LengthBytes = 4;
 constexpr Duration PeerConnectTimeout = milliseconds(400); ///< covers several round trips between failure domains and one lost packet
 constexpr Duration PeerSilenceTimeout = milliseconds(3000); ///< silence timeout of the TCP connection, also without open tasks
@@ -177,7 +176,11 @@
         handleCrashMessage(gateway, message);
         return;
     case PeerKind::Revision:
-        handleRevision(gateway, message.m_revision);
+    case PeerKind::StateRequest:
+    case PeerKind::State:
+    case PeerKind::ConfigurationRequest:
+    case PeerKind::Configuration:
+        handleStateMessage(gateway, link.m_node, message);
         return;
     case PeerKind::Pong:
     case PeerKind::Count:
--- a/src/gateway_run.cpp
+++ b/src/gateway_run.cpp
@@ -78,7 +78,17 @@
     addGauge(registry,
              "medlarramp_store_revision",
              "Newest revision of the key-value store that is known",
-             static_cast<double>(gateway.m_store.m_watch.m_revision));
+             static_cast<double>(gateway.m_store.m_watch.m_version.revision()));
+    addGauge(registry,
+             "medlarramp_store_era",
+             "Era of the key-value store: the number of its restorations from a backup",
+             static_cast<double>(gateway.m_store.m_era.m_era));
+    prometheus::BuildCounter()
+        .Name("medlarramp_store_eras_ignored_total")
+        .Help("Answers of the key-value store that were ignored because their era was unreadable, implausible or lower than the known one")
+        .Register(registry)
+        .Add({})
+        .Increment(static_cast<double>(gateway.m_store.m_era.m_ignored));
     auto &evacuated = prometheus::BuildGauge()
                           .Name("medlarramp_evacuated")
                           .Help("1 for each failure domain that operators have asked to evacuate")
--- a/src/gateway_store.cpp
+++ b/src/gateway_store.cpp
@@ -13,7 +13,7 @@
 struct StoreConnection {
     NetConnection *m_net = nullptr;
     HttpReader m_reader{HTTP_RESPONSE, MaxHeadBytes, MaxBodyBytes};
-    std::function<void(int, std::string)> m_onEnd; ///< HTTP status (0: no answer) and body
+    std::function<void(int, std::string)> m_onEnd; ///< HTTP status (0: no answer) and body; the answer belongs to StoreClient::m_era
     NetTimer m_timeout;
     bool m_busy = false;
     bool m_isConnected = false; ///< the handshake has ended
@@ -59,12 +59,15 @@
 constexpr Duration LeaseTime = seconds(6); ///< a crashed member stays listed for at most this time
 constexpr Duration LeaseRenewal = milliseconds(1900); ///< two consecutive renewals may fail before the lease expires
 
+constexpr size_t MaxLoggedEraBytes = 32;
 constexpr std::string_view WatchCall = "watch"; ///< name of the call in the log
 
 void startListing(Gateway &gateway);
 void readPage(Gateway &gateway, const std::string &after);
 void callWatch(Gateway &gateway);
 void renewLease(Gateway &gateway);
+void requestLease(Gateway &gateway);
+void dropStoreCall(StoreConnection &connection);
 
 //-----------------------------------------------------------------------------
 // Calls
@@ -85,6 +88,55 @@
     }
 }
 
+/** The store was restored from a backup: reads it again, and replaces the lease, whose id may have been assigned to another client. */
+void enterEra(Gateway &gateway)
+{
+    StoreClient &store = gateway.m_store;
+    writeLog(LogLevel::Warning,
+             "store",
+             "Key-value store was restored from a backup; reading it again.",
+             {{"era", fmt::format("{}", store.m_era.m_era)}, {"revision", fmt::format("{}", store.m_watch.m_version.revision())}});
+    beginEra(store.m_era, gateway.m_registry, store.m_members, gatewayNow(gateway));
+    listAgain(gateway);
+    store.m_lease = 0;
+    store.m_leaseTimer.stop();
+    if (store.m_leaseConnection->m_busy) {
+        dropStoreCall(*store.m_leaseConnection);
+    }
+    if (!gateway.m_draining) {
+        requestLease(gateway);
+    }
+}
+
+/** Ends a call with the answer that has been read, according to the era of the answer. */
+void finishAnswer(Gateway &gateway, StoreConnection &connection)
+{
+    const HttpReader &reader = connection.m_reader;
+    const bool keepAlive = reader.m_keepAlive;
+    const std::optional<std::string_view> header = findHeader(reader.m_headers, Platform::StoreEraHeader);
+    StoreEra &era = gateway.m_store.m_era;
+    switch (observeEra(era, header.has_value(), header ? Platform::parseStoreEra(*header) : std::nullopt)) {
+    case EraStep::Current: {
+        std::string body = std::move(connection.m_reader.m_body);
+        finishStoreCall(connection, reader.m_status, std::move(body), keepAlive);
+        return;
+    }
+    case EraStep::Begins:
+        // The question was asked in an earlier era, so the answer means something else.
+        connection.m_onEnd = nullptr;
+        finishStoreCall(connection, 0, "", keepAlive);
+        enterEra(gateway);
+        return;
+    case EraStep::Ignored:
+        writeLog(LogLevel::Warning,
+                 "store",
+                 "Answer of the key-value store ignored: its era is unreadable, implausible or lower than the known one.",
+                 {{"era", std::string(header->substr(0, MaxLoggedEraBytes))}, {"known", fmt::format("{}", era.m_era)}});
+        finishStoreCall(connection, 0, "", false);
+        return;
+    }
+}
+
 void connectStore(Gateway &gateway, StoreConnection &connection)
 {
     ConnectionOptions options;
@@ -94,15 +146,14 @@
     connection.m_isConnected = false;
     connection.m_net = NetConnection::connect(gateway.m_loop, gateway.m_store.m_address, options);
     connection.m_net->m_onConnect = [&connection] { connection.m_isConnected = true; };
-    connection.m_net->m_onData = [&connection](std::string_view data) {
+    connection.m_net->m_onData = [&gateway, &connection](std::string_view data) {
         const size_t used = connection.m_reader.feed(data);
         if (!connection.m_busy || (connection.m_reader.m_state != ParseState::Done && used < data.size())) {
             finishStoreCall(connection, 0, "", false);
             return;
         }
         if (connection.m_reader.m_state == ParseState::Done) {
-            std::string body = std::move(connection.m_reader.m_body);
-            finishStoreCall(connection, connection.m_reader.m_status, std::move(body), connection.m_reader.m_keepAlive);
+            finishAnswer(gateway, connection);
         }
     };
     connection.m_net->m_onClose = [&connection](CloseCause, const absl::Status &) {
@@ -258,7 +309,7 @@
                  "store",
                  "Watch continues after an interruption.",
                  {{"silent_ms", fmt::format("{}", (now - watch.m_answeredAt).count() / 1000)},
-                  {"revision", fmt::format("{}", watch.m_revision)}});
+                  {"revision", fmt::format("{}", watch.m_version.revision())}});
     }
     watch.m_answeredAt = now;
     recordStoreAnswer(gateway);
@@ -270,16 +321,7 @@
 
 void applyConfiguration(Gateway &gateway, const Platform::StoreItem &item)
 {
-    absl::StatusOr<ServingConfiguration> decoded = Platform::decodeConfiguration(item.m_value);
-    if (!decoded.ok()) {
-        writeLog(LogLevel::Error, "config", "Invalid configuration ignored.", {{"error", std::string(decoded.status().message())}});
-        return;
-    }
-    if (!isNewer(gateway.m_configuration.get(), *decoded)) {
-        return;
-    }
-    gateway.m_configuration = std::make_shared<const ServingConfiguration>(std::move(*decoded));
-    writeLog(LogLevel::Info, "config", "Configuration applied.", {{"version", fmt::format("{}", gateway.m_configuration->m_version)}});
+    adoptConfiguration(gateway, item.m_value, writeVersion(gateway.m_store.m_era, item.m_version));
 }
 
 std::string idOf(const std::string &key, std::string_view prefix)
@@ -292,32 +334,59 @@
     return text.compare(0, prefix.size(), prefix) == 0;
 }
 
-void applyMember(Gateway &gateway, const Platform::StoreItem &item)
+std::optional<Member> readMember(Gateway &gateway, const Platform::StoreItem &item)
 {
-    if (item.m_removed) {
-        gateway.m_store.m_members.erase(item.m_key);
-        return;
-    }
     absl::StatusOr<Member> member = Platform::decodeMember(item.m_value);
     if (!member.ok()) {
-        // A member that was known stays one until its item is removed: tasks may be open at it.
         gateway.m_invalidItems += 1;
         writeLog(LogLevel::Warning,
                  "store",
                  "Invalid member ignored.",
                  {{"key", item.m_key}, {"error", std::string(member.status().message())}});
+        return std::nullopt;
+    }
+    return std::move(*member);
+}
+
+void applyMember(Gateway &gateway, const Platform::StoreItem &item)
+{
+    StoreClient &store = gateway.m_store;
+    if (item.m_removed) {
+        removeMemberItem(store.m_members, store.m_era, item.m_key, gatewayNow(gateway));
         return;
     }
-    gateway.m_store.m_members[item.m_key] = std::move(*member);
+    // A member that was known stays one until its item is removed, even if it becomes invalid: tasks may be open at it.
+    if (std::optional<Member> member = readMember(gateway, item)) {
+        applyMemberItem(store.m_members, store.m_era, item.m_key, std::move(*member), item.m_version);
+    }
 }
 
 void applyMembers(Gateway &gateway)
 {
+    StoreClient &store = gateway.m_store;
+    const TimePoint now = gatewayNow(gateway);
+    const std::optional<TimePoint> next = expireMembers(store.m_members, now);
     std::vector<Member> members;
-    for (const auto &[key, member] : gateway.m_store.m_members) {
-        members.push_back(member);
+    for (const auto &[key, listed] : store.m_members.m_members) {
+        members.push_back(listed.m_member);
+    }
+    replaceMembers(gateway.m_membership, std::move(members), now);
+    if (next) {
+        store.m_memberTimer.start(gateway.m_loop, *next - now, [&gateway] { applyMembers(gateway); });
+    }
+}
+
+void applyMemberListing(Gateway &gateway, const std::vector<Platform::StoreItem> &items)
+{
+    StoreClient &store = gateway.m_store;
+    std::vector<std::pair<std::string, ListedMember>> listed;
+    for (const Platform::StoreItem &item : items) {
+        if (std::optional<Member> member = readMember(gateway, item)) {
+            listed.emplace_back(item.m_key, ListedMember{std::move(*member), item.m_version, std::nullopt});
+        }
     }
-    replaceMembers(gateway.m_membership, std::move(members), gatewayNow(gateway));
+    applyMemberItems(store.m_members, store.m_era, listed, gatewayNow(gateway));
+    applyMembers(gateway);
 }
 
 /** An entry that can't be read names no replica to use, also when it replaces one that did. */
@@ -351,15 +420,6 @@
     }
 }
 
-std::map<std::string, std::string_view> describeReplicas(const Registry &registry)
-{
-    std::map<std::string, std::string_view> states;
-    for (const auto &[id, replica] : registry.m_replicas) {
-        states[id] = describeReplica(registry, id);
-    }
-    return states;
-}
-
 void expireRegistrations(Gateway &gateway)
 {
     const TimePoint now = gatewayNow(gateway);
@@ -401,13 +461,13 @@
             const std::string_view before = describeReplica(gateway.m_registry, id);
             std::optional<ReplicaRecord> record = item.m_removed ? std::nullopt : readRecord(gateway, item);
             if (record) {
-                upsertReplica(gateway.m_registry, std::move(*record));
+                applyRegistration(gateway.m_registry, gateway.m_store.m_era, std::move(*record), item.m_version);
             } else if (item.m_removed) {
                 removeReplica(gateway.m_registry, id, now);
             } else {
                 gateway.m_registry.m_replicas.erase(id);
             }
-            logReplicaChange(gateway, id, before, item.m_revision, age);
+            logReplicaChange(gateway, id, before, item.m_version.revision(), age);
         }
     }
     if (membersChanged) {
@@ -420,21 +480,15 @@
 
 void applyRegistrationListing(Gateway &gateway, const std::vector<Platform::StoreItem> &items)
 {
-    std::vector<ReplicaRecord> records;
+    std::vector<std::pair<ReplicaRecord, StoreVersion>> records;
     for (const Platform::StoreItem &item : items) {
         if (std::optional<ReplicaRecord> record = readRecord(gateway, item)) {
-            records.push_back(std::move(*record));
+            records.emplace_back(std::move(*record), item.m_version);
         }
     }
-    std::map<std::string, std::string_view> states = describeReplicas(gateway.m_registry);
-    replaceReplicas(gateway.m_registry, std::move(records), gatewayNow(gateway));
-    for (const auto &[id, replica] : gateway.m_registry.m_replicas) {
-        states.emplace(id, "unknown");
-    }
-    for (const auto &[id, before] : states) {
-        logReplicaChange(gateway, id, before, gateway.m_store.m_watch.m_listRevision, watchAge(gateway));
-    }
-    expireRegistrations(gateway);
+    const std::map<std::string, std::string_view> before = describeReplicas(gateway.m_registry);
+    applyRegistrations(gateway.m_registry, gateway.m_store.m_era, records, gatewayNow(gateway));
+    applyRegistryChange(gateway, before);
 }
 
 /** Replaces the registrations or members by a complete listing, or applies the configuration. */
@@ -451,11 +505,7 @@
         syncUpstreams(gateway);
         return;
     case StoreRange::Members:
-        gateway.m_store.m_members.clear();
-        for (const Platform::StoreItem &item : items) {
-            applyMember(gateway, item);
-        }
-        applyMembers(gateway);
+        applyMemberListing(gateway, items);
         return;
     case StoreRange::Registrations:
         applyRegistrationListing(gateway, items);
@@ -494,7 +544,7 @@
     StoreWatch &watch = gateway.m_store.m_watch;
     watch.m_listing = 0;
     watch.m_page.clear();
-    watch.m_listRevision = 0;
+    watch.m_listVersion.reset();
     readPage(gateway, "");
 }
 
@@ -508,6 +558,7 @@
         readPage(gateway, "");
         return;
     }
+    const bool isFirst = !watch.m_wasListed;
     watch.m_isListed = true;
     watch.m_wasListed = true;
     for (const std::string &failureDomain : gateway.m_registry.m_evacuatedDomains) {
@@ -515,7 +566,10 @@
     }
     watch.m_isProven = false;
     // Pages and listings may differ in revision, so the watch starts at that of the first page.
-    watch.m_revision = watch.m_listRevision;
+    watch.m_version = watch.m_listVersion.value_or(StoreVersion());
+    if (gateway.m_store.m_era.m_era > 0) {
+        askPeersForState(gateway, isFirst);
+    }
     confirm(gateway);
     callWatch(gateway);
 }
@@ -524,7 +578,7 @@
 {
     StoreWatch &watch = gateway.m_store.m_watch;
     absl::StatusOr<Platform::StoreItems> page =
-        status == HTTP_STATUS_OK ? Platform::decodeItems(body) : absl::UnavailableError("no answer");
+        status == HTTP_STATUS_OK ? Platform::decodeItems(body, gateway.m_store.m_era.m_era) : absl::UnavailableError("no answer");
     if (!page.ok()) {
         recordStoreFailure(gateway, *watch.m_connection, "list", status);
         parkWatch(gateway);
@@ -532,7 +586,8 @@
     }
     recordWatchAnswer(gateway);
     countUnreadable(gateway, *page);
-    watch.m_listRevision = watch.m_listRevision == 0 ? page->m_asOf : watch.m_listRevision;
+    observeFirstVersion(gateway.m_store.m_era, page->m_asOf);
+    watch.m_listVersion = watch.m_listVersion.value_or(page->m_asOf);
     const std::string last = page->m_items.empty() ? "" : page->m_items.back().m_key;
     const bool more = page->m_more && !last.empty();
     std::move(page->m_items.begin(), page->m_items.end(), std::back_inserter(watch.m_page));
@@ -568,12 +623,12 @@
 {
     StoreWatch &watch = gateway.m_store.m_watch;
     absl::StatusOr<Platform::StoreItems> events =
-        status == HTTP_STATUS_OK ? Platform::decodeItems(body) : absl::UnavailableError("no answer");
+        status == HTTP_STATUS_OK ? Platform::decodeItems(body, gateway.m_store.m_era.m_era) : absl::UnavailableError("no answer");
     if (events.ok()) {
         const Duration age = watchAge(gateway);
         recordWatchAnswer(gateway);
         countUnreadable(gateway, *events);
-        watch.m_revision = std::max(watch.m_revision, events->m_asOf);
+        watch.m_version.advanceTo(events->m_asOf);
         const bool wasCurrent = watch.m_isCurrent;
         watch.m_isProven = wasCurrent && events->m_items.empty();
         applyEvents(gateway, *events, age);
@@ -585,7 +640,7 @@
         writeLog(LogLevel::Info,
                  "store",
                  "Watch history is no longer available; listing again.",
-                 {{"revision", fmt::format("{}", watch.m_revision)}});
+                 {{"revision", fmt::format("{}", watch.m_version.revision())}});
         watch.m_isListed = false;
         startListing(gateway);
         return;
@@ -594,24 +649,6 @@
     parkWatch(gateway);
 }
 
-/** Other members in the order of the hashes of their names, from @p start on. */
-std::vector<std::string> membersFrom(const Gateway &gateway, uint64_t start)
-{
-    std::vector<std::pair<uint64_t, std::string>> nodes;
-    for (const auto &[node, member] : gateway.m_membership.m_members) {
-        if (node != gateway.m_settings.m_node) {
-            nodes.emplace_back(hash64(node) - start, node);
-        }
-    }
-    std::sort(nodes.begin(), nodes.end());
-    std::vector<std::string> names;
-    names.reserve(nodes.size());
-    for (auto &[hash, node] : nodes) {
-        names.push_back(std::move(node));
-    }
-    return names;
-}
-
 /** Whether this is one of the few gateways that never wait for long, so that a change is noticed even if all others miss it. */
 bool isSentinel(const Gateway &gateway)
 {
@@ -628,11 +665,11 @@
     writeLog(watch.m_isInterrupted ? LogLevel::Info : LogLevel::Debug,
              "store",
              "Watch started.",
-             {{"revision", fmt::format("{}", watch.m_revision)},
+             {{"revision", fmt::format("{}", watch.m_version.revision())},
               {"connection", watch.m_connection->m_net == nullptr ? "new" : "kept"},
               {"wait_ms", fmt::format("{}", wait.count() / 1000)}});
     // All keys have the empty prefix.
-    const std::string target = Platform::formatWatchTarget("", watch.m_revision, wait);
+    const std::string target = Platform::formatWatchTarget("", watch.m_version.revision(), wait);
     callStore(gateway, *watch.m_connection, "GET", target, "", wait + margin, [&gateway](int status, const std::string &body) {
         handleWatch(gateway, status, body);
     });
@@ -737,6 +774,79 @@
 
 } // namespace
 
+std::map<std::string, std::string_view> describeReplicas(const Registry &registry)
+{
+    std::map<std::string, std::string_view> states;
+    for (const auto &[id, replica] : registry.m_replicas) {
+        states[id] = describeReplica(registry, id);
+    }
+    return states;
+}
+
+std::vector<std::string> membersFrom(const Gateway &gateway, uint64_t start)
+{
+    std::vector<std::pair<uint64_t, std::string>> nodes;
+    for (const auto &[node, member] : gateway.m_membership.m_members) {
+        if (node != gateway.m_settings.m_node) {
+            nodes.emplace_back(hash64(node) - start, node);
+        }
+    }
+    std::sort(nodes.begin(), nodes.end());
+    std::vector<std::string> names;
+    names.reserve(nodes.size());
+    for (auto &[hash, node] : nodes) {
+        names.push_back(std::move(node));
+    }
+    return names;
+}
+
+void applyRegistryChange(Gateway &gateway, const std::map<std::string, std::string_view> &before)
+{
+    std::map<std::string, std::string_view> states = before;
+    for (const auto &[id, replica] : gateway.m_registry.m_replicas) {
+        states.emplace(id, "unknown");
+    }
+    const StoreWatch &watch = gateway.m_store.m_watch;
+    for (const auto &[id, state] : states) {
+        logReplicaChange(gateway, id, state, watch.m_listVersion.value_or(StoreVersion()).revision(), watchAge(gateway));
+    }
+    expireRegistrations(gateway);
+}
+
+void adoptConfiguration(Gateway &gateway, const std::string &text, const StoreVersion &write)
+{
+    absl::StatusOr<ServingConfiguration> decoded = Platform::decodeConfiguration(text);
+    if (!decoded.ok()) {
+        writeLog(LogLevel::Error, "config", "Invalid configuration ignored.", {{"error", std::string(decoded.status().message())}});
+        return;
+    }
+    if (!replacesConfiguration(gateway.m_configuration.get(), gateway.m_configurationWrite, *decoded, write)) {
+        if (*decoded == *gateway.m_configuration) {
+            gateway.m_configurationWrite = std::max(gateway.m_configurationWrite, write);
+        }
+        return;
+    }
+    gateway.m_configuration = std::make_shared<const ServingConfiguration>(std::move(*decoded));
+    gateway.m_configurationWrite = write;
+    gateway.m_configurationText = text;
+    writeLog(LogLevel::Info, "config", "Configuration applied.", {{"version", fmt::format("{}", gateway.m_configuration->m_version)}});
+}
+
+void listAgain(Gateway &gateway)
+{
+    StoreWatch &watch = gateway.m_store.m_watch;
+    if (watch.m_connection->m_busy) {
+        dropStoreCall(*watch.m_connection);
+    }
+    watch.m_timer.stop();
+    watch.m_behindTimer.stop();
+    watch.m_isParked = false;
+    watch.m_isListed = false;
+    watch.m_isInterrupted = true;
+    watch.m_isProven = false;
+    startListing(gateway);
+}
+
 void startStore(Gateway &gateway)
 {
     StoreClient &store = gateway.m_store;
@@ -756,36 +866,42 @@
 {
     StoreWatch &watch = gateway.m_store.m_watch;
     const TimePoint now = gatewayNow(gateway);
-    if (watch.m_revision <= watch.m_toldRevision || now - watch.m_toldAt < MinRevisionInterval) {
+    if (watch.m_version <= watch.m_toldVersion || now - watch.m_toldAt < MinRevisionInterval) {
         return;
     }
-    watch.m_toldRevision = watch.m_revision;
+    if (watch.m_version.era() != gateway.m_store.m_era.m_era) {
+        return; // a new era is being listed
+    }
+    watch.m_toldVersion = watch.m_version;
     watch.m_toldAt = now;
     PeerMessage message;
     message.m_kind = PeerKind::Revision;
-    message.m_revision = watch.m_revision;
+    message.m_revision = watch.m_version.revision();
+    message.m_era = watch.m_version.era();
+    addStateSummary(gateway, message);
     const std::vector<std::string> listeners = membersFrom(gateway, hash64(gateway.m_settings.m_node));
     for (size_t i = 0; i < std::min(RevisionFanout, listeners.size()); ++i) {
         sendToPeer(gateway, listeners[i], message);
     }
 }
 
-void handleRevision(Gateway &gateway, int64_t revision)
+void handleRevision(Gateway &gateway, const StoreVersion &seen)
 {
     StoreWatch &watch = gateway.m_store.m_watch;
-    if (revision <= watch.m_revision || watch.m_behindTimer.isActive()) {
+    if (seen <= watch.m_version || watch.m_behindTimer.isActive()) {
         return;
     }
-    watch.m_behindTimer.start(gateway.m_loop, watch.m_interval + RevisionSlack, [&gateway, revision] {
+    watch.m_behindTimer.start(gateway.m_loop, watch.m_interval + RevisionSlack, [&gateway, seen] {
         StoreWatch &behind = gateway.m_store.m_watch;
-        if (behind.m_revision >= revision || !behind.m_isListed || behind.m_isParked || !behind.m_connection->m_busy) {
+        if (behind.m_version >= seen || !behind.m_isListed || behind.m_isParked || !behind.m_connection->m_busy) {
             return; // up to date, or about to be
         }
         writeLog(LogLevel::Warning,
                  "store",
                  "Watch misses changes that another gateway has seen; starting it again.",
-                 {{"revision", fmt::format("{}", behind.m_revision)},
-                  {"seen", fmt::format("{}", revision)},
+                 {{"revision", fmt::format("{}", behind.m_version.revision())},
+                  {"seen", fmt::format("{}", seen.revision())},
+                  {"seen_era", fmt::format("{}", seen.era())},
                   {"silent_ms", fmt::format("{}", watchAge(gateway).count() / 1000)}});
         restartWatch(gateway);
     });
@@ -804,7 +920,7 @@
 
 bool isListed(const Gateway &gateway)
 {
-    return gateway.m_store.m_watch.m_wasListed;
+    return gateway.m_store.m_watch.m_wasListed && !gateway.m_peerQuery.m_isStart;
 }
 
 void leaveMembership(Gateway &gateway)
--- a/src/serving.h
+++ b/src/serving.h
@@ -215,6 +215,7 @@
     /** Advances to a later revision of the same era. A version of another era is not taken: only a new listing may change the era. */
     bool advanceTo(const StoreVersion &seen);
 
+    // NOLINTNEXTLINE(modernize-use-nullptr): clang-tidy 14 takes the zero of the generated comparison for a pointer
     auto operator<=>(const StoreVersion &) const = default;
 
 private:
@@ -864,7 +865,10 @@
 /** Applies a registration. One of the backup changes nothing that is known. @return false when it is ignored as the replica has left. */
 bool applyRegistration(Registry &registry, StoreEra &era, ReplicaRecord record, const StoreVersion &version);
 /** Applies a complete listing of registrations. Those that a restored store has lost are used until their grace period ends. */
-void applyRegistrations(Registry &registry, StoreEra &era, std::vector<std::pair<ReplicaRecord, StoreVersion>> records, TimePoint now);
+void applyRegistrations(Registry &registry,
+                        StoreEra &era,
+                        const std::vector<std::pair<ReplicaRecord, StoreVersion>> &records,
+                        TimePoint now);
 /** Replicas that other gateways must not take from a backup as ready. */
 std::vector<ReplicaHold> replicaHolds(const Registry &registry, const StoreEra &era, TimePoint now);
 /** Applies what a peer knows of a replica, unless the replica was written again. @return whether something has changed. */
@@ -893,7 +897,7 @@
 void applyMemberItem(MemberList &members, StoreEra &era, const std::string &key, Member member, const StoreVersion &version);
 /** Removes a member. One that has not been written again since a restoration is kept until MemberList::m_keptUntil. */
 void removeMemberItem(MemberList &members, const StoreEra &era, const std::string &key, TimePoint now);
-void applyMemberItems(MemberList &members, StoreEra &era, std::vector<std::pair<std::string, ListedMember>> listed, TimePoint now);
+void applyMemberItems(MemberList &members, StoreEra &era, const std::vector<std::pair<std::string, ListedMember>> &listed, TimePoint now);
 /** Removes the members whose removal time has come. @return the time of the next removal. */
 std::optional<TimePoint> expireMembers(MemberList &members, TimePoint now);
 
--- a/src/serving_era.cpp
+++ b/src/serving_era.cpp
@@ -156,12 +156,15 @@
     return true;
 }
 
-void applyRegistrations(Registry &registry, StoreEra &era, std::vector<std::pair<ReplicaRecord, StoreVersion>> records, TimePoint now)
+void applyRegistrations(Registry &registry,
+                        StoreEra &era,
+                        const std::vector<std::pair<ReplicaRecord, StoreVersion>> &records,
+                        TimePoint now)
 {
     std::unordered_set<std::string> listed;
-    for (auto &[record, version] : records) {
+    for (const auto &[record, version] : records) {
         listed.insert(record.m_id);
-        applyRegistration(registry, era, std::move(record), version);
+        applyRegistration(registry, era, record, version);
     }
     std::vector<std::string> missing;
     for (const auto &[id, replica] : registry.m_replicas) {
@@ -321,12 +324,12 @@
     members.m_members.erase(known);
 }
 
-void applyMemberItems(MemberList &members, StoreEra &era, std::vector<std::pair<std::string, ListedMember>> listed, TimePoint now)
+void applyMemberItems(MemberList &members, StoreEra &era, const std::vector<std::pair<std::string, ListedMember>> &listed, TimePoint now)
 {
     std::set<std::string> keys;
-    for (auto &[key, member] : listed) {
+    for (const auto &[key, member] : listed) {
         keys.insert(key);
-        applyMemberItem(members, era, key, std::move(member.m_member), member.m_version);
+        applyMemberItem(members, era, key, member.m_member, member.m_version);
     }
     std::vector<std::string> missing;
     for (const auto &[key, member] : members.m_members) {
--- a/tests/gateway_world.h
+++ b/tests/gateway_world.h
@@ -155,7 +155,14 @@
     std::shared_ptr<NetTimer> m_end; ///< answers without events
 };
 
-/** Fake key-value store: listings in one page, watches that wait for changes, leases that never expire. */
+/** Contents of the fake store at one time. */
+struct StoreBackup {
+    std::map<std::string, std::pair<std::string, int64_t>> m_items;
+    std::map<std::string, int64_t> m_removed;
+    int64_t m_revision = 0;
+};
+
+/** Fake key-value store: listings in one page, watches that wait for changes, leases that only a restoration ends. */
 struct FakeStore {
     FakeServer m_server;
     std::map<std::string, std::pair<std::string, int64_t>> m_items; ///< value and revision by key
@@ -167,6 +174,45 @@
     std::optional<size_t> m_lostWatch; ///< index of the waiting watch whose answer to the next change gets lost
     std::map<std::string, std::pair<std::string, int64_t>> m_staleItems; ///< if any, what stale listings return
     std::vector<PendingWatch> m_watches;
+    std::optional<std::string> m_era; ///< header of all answers; nothing: no header
+    std::set<int64_t> m_leases; ///< granted since the start or the last restoration
+    std::map<std::string, int64_t> m_itemLeases; ///< lease of the last write by key
+    int64_t m_nextLease = 7;
+    int64_t m_listings = 0; ///< answered range calls
+
+    [[nodiscard]] StoreBackup backup() const
+    {
+        return {m_items, m_removed, m_revision};
+    }
+
+    /** Restores a backup: later writes and all leases are lost, revisions and lease ids are given out again, and the era increases. */
+    void restore(const StoreBackup &backup, int64_t era)
+    {
+        m_items = backup.m_items;
+        m_removed = backup.m_removed;
+        m_revision = backup.m_revision;
+        m_leases.clear();
+        m_nextLease = 7;
+        m_era = std::to_string(era);
+        closeWatches();
+    }
+
+    /** Ends the connections of all waiting watches without an answer. */
+    void closeWatches()
+    {
+        for (const PendingWatch &watch : std::exchange(m_watches, {})) {
+            if (watch.m_request->m_net != nullptr) {
+                watch.m_request->m_net->closeAfterWrites();
+            }
+        }
+    }
+
+    /** Grants a lease to a client that is no gateway. */
+    int64_t grantLease()
+    {
+        m_leases.insert(m_nextLease);
+        return m_nextLease++;
+    }
 
     void start(NetLoop &loop)
     {
@@ -242,13 +288,26 @@
         return items;
     }
 
-    static void send(const std::shared_ptr<ReceivedRequest> &request, const nlohmann::json &body)
+    void sendStatus(const std::shared_ptr<ReceivedRequest> &request, int status, const std::string &body)
     {
-        reply(request, formatAnswer(200, {{"Content-Type", "application/json"}}, body.dump(), true));
+        HttpHeaders headers = {{"Content-Type", "application/json"}};
+        if (m_era) {
+            headers.push_back({"Store-Era", *m_era});
+        }
+        reply(request, formatAnswer(status, headers, body, true));
+    }
+
+    void send(const std::shared_ptr<ReceivedRequest> &request, const nlohmann::json &body)
+    {
+        sendStatus(request, 200, body.dump());
     }
 
     void answerWatch(const std::shared_ptr<ReceivedRequest> &request, int64_t after)
     {
+        if (m_era && after > m_revision) {
+            sendStatus(request, 410, "");
+            return;
+        }
         nlohmann::json events = itemsAfter(after, parameter(request->m_request.m_target, "prefix"));
         for (const auto &[key, revision] : m_removed) {
             if (revision > after) {
@@ -279,10 +338,11 @@
             return;
         }
         if (target.find("/-/kv-range") == 0) {
+            m_listings += 1;
             const bool stale = parameter(target, "allow_stale") == "1" && !m_staleItems.empty();
             send(request, {{"entries", itemsAfter(0, parameter(target, "prefix"), stale)}, {"more_pages", false}, {"as_of", m_revision}});
         } else if (target.find("/-/kv-watch") == 0 && std::exchange(m_isHistoryGone, false)) {
-            reply(request, formatAnswer(410, {}, "", true));
+            sendStatus(request, 410, "");
         } else if (target.find("/-/kv-watch") == 0 && m_losesWatches) {
             return;
         } else if (target.find("/-/kv-watch") == 0) {
@@ -290,9 +350,15 @@
         } else if (target.find("/-/kv-txn") == 0) {
             const nlohmann::json body = nlohmann::json::parse(request->m_request.m_body);
             for (const nlohmann::json &write : body.at("writes")) {
+                m_itemLeases[write.at("key").get<std::string>()] = write.value("lease", int64_t{0});
                 put(write.at("key"), fromBase64(write.at("value").get<std::string>()).value_or(""));
             }
             send(request, {{"revision", m_revision}});
+        } else if (m_era && target.find("/-/kv-keep/") == 0) {
+            const int64_t lease = std::stoll(target.substr(target.rfind('/') + 1));
+            sendStatus(request, m_leases.contains(lease) ? 200 : 404, nlohmann::json{{"lease", lease}, {"ttl_ms", 4000}}.dump());
+        } else if (m_era && target == "/-/kv-lease") {
+            send(request, {{"lease", grantLease()}, {"ttl_ms", 4000}});
         } else {
             send(request, {{"lease", 7}, {"ttl_ms", 4000}});
         }
--- a/tests/test_platform.cpp
+++ b/tests/test_platform.cpp
@@ -69,7 +69,7 @@
                                    R"({"key":"servers/a","revision":"x","tombstone":"x"})"};
         for (const std::string &item : odd) {
             const absl::StatusOr<Platform::StoreItems> items =
-                Platform::decodeItems(R"({"as_of":9,"events":[)" + item + R"(,{"key":"servers/b","value":"e30=","revision":4}]})");
+                Platform::decodeItems(R"({"as_of":9,"events":[)" + item + R"(,{"key":"servers/b","value":"e30=","revision":4}]})", 0);
             CPPUNIT_ASSERT_MESSAGE(item, items.ok());
             CPPUNIT_ASSERT_EQUAL(std::string("servers/b"), items->m_items.back().m_key);
             CPPUNIT_ASSERT_EQUAL(std::string("{}"), items->m_items.back().m_value);
@@ -144,14 +144,17 @@
     void decodesStoreItems()
     {
         const absl::StatusOr<Platform::StoreItems> events = Platform::decodeItems(
-            R"({"events":[{"key":"a","value":"bm9kZS0x","revision":412,"created":412,"lease":0},{"key":"b","revision":413,"tombstone":true}],"as_of":413})");
+            R"({"events":[{"key":"a","value":"bm9kZS0x","revision":412,"created":412,"lease":0},{"key":"b","revision":413,"tombstone":true}],"as_of":413})",
+            2);
         CPPUNIT_ASSERT(events.ok());
-        CPPUNIT_ASSERT_EQUAL(int64_t(413), events->m_asOf);
+        CPPUNIT_ASSERT(events->m_asOf == StoreVersion(2, 413));
+        CPPUNIT_ASSERT(events->m_items[0].m_version == StoreVersion(2, 412));
         CPPUNIT_ASSERT_EQUAL(std::string("node-1"), events->m_items[0].m_value);
         CPPUNIT_ASSERT(!events->m_items[0].m_removed && events->m_items[1].m_removed);
-        const absl::StatusOr<Platform::StoreItems> broken = Platform::decodeItems(R"({"entries":[{"key":"a","value":"***"}],"as_of":1})");
+        const absl::StatusOr<Platform::StoreItems> broken =
+            Platform::decodeItems(R"({"entries":[{"key":"a","value":"***"}],"as_of":1})", 0);
         CPPUNIT_ASSERT(broken.ok() && !Platform::decodeRegistration("a", broken->m_items.at(0).m_value).ok());
-        CPPUNIT_ASSERT(!Platform::decodeItems(R"({"entries":[]})").ok());
+        CPPUNIT_ASSERT(!Platform::decodeItems(R"({"entries":[]})", 0).ok());
     }
 
     // Guards against results that are assigned to another piece: the response lists them in the order of the request.
@@ -207,7 +210,7 @@
             }
             (void)Platform::decodeConfiguration(text);
             (void)Platform::decodeRegistration("i", text.substr(uniformBelow(random, 200)));
-            (void)Platform::decodeItems(text);
+            (void)Platform::decodeItems(text, 0);
             (void)Platform::decodeStageRun(text);
             (void)Platform::decodeMember(text);
             (void)Platform::parsePromptParts(text);
