--- a/src/gateway_internal.h
+++ b/src/gateway_internal.h
@@ -308,11 +308,27 @@
     State,
     ConfigurationRequest,
     Configuration,
+    Subscribe,
+    Relay,
     Count
 };
 
 constexpr size_t MaxPeerMessageBytes = 1024 * 1024;
 
+/** A changed item of the key-value store in a relayed answer. */
+struct RelayedItem {
+    std::string m_key;
+    std::string m_value;
+    int64_t m_revision = 0;
+    bool m_removed = false;
+
+    template<typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(m_key, m_value, m_revision, m_removed);
+    }
+};
+
 /** One message between gateways. Fields that a kind doesn't use stay empty. */
 struct PeerMessage {
     PeerKind m_kind = PeerKind::Ping;
@@ -335,9 +351,12 @@
     std::vector<uint64_t> m_requests; ///< crash, cleared and refused: digests of requests
     std::vector<uint64_t> m_parts; ///< crash, cleared and refused: ids of prompt parts
     std::vector<uint64_t> m_answeredParts; ///< crash: those of m_parts that replicas have answered before
-    int64_t m_revision = 0; ///< revision: the newest revision of the key-value store that the sender has seen
     int64_t m_era = 0; ///< era of m_revision, or the era of the store that the sender knows
     std::string m_state; ///< revision, state and configuration: an encoded StoreState, see gateway_era.cpp
+    int64_t m_revision = 0; ///< revision: the newest revision of the key-value store that the sender has seen; relay: of the answer
+    int64_t m_fromRevision = 0; ///< relay: revision that the watch call continued after
+    bool m_isIncomplete = false; ///< relay: the changes were too large to be passed on
+    std::vector<RelayedItem> m_items; ///< relay: the changes
 
     template<typename Archive>
     void serialize(Archive &archive)
@@ -364,7 +383,10 @@
                 m_answeredParts,
                 m_revision,
                 m_era,
-                m_state);
+                m_state,
+                m_fromRevision,
+                m_isIncomplete,
+                m_items);
     }
 };
 
@@ -468,6 +490,19 @@
 /** Other members in the order of the hashes of their names, from @p start on. */
 std::vector<std::string> membersFrom(const Gateway &gateway, uint64_t start);
 std::map<std::string, std::string_view> describeReplicas(const Registry &registry);
+/** Answers of the watch, from this gateway's own call or relayed. @p age of the knowledge that the events replace. */
+void applyEvents(Gateway &gateway, const Platform::StoreItems &events, Duration age);
+/** Starts an own watch call unless one is open or the store is not listed yet. */
+void watchNow(Gateway &gateway);
+/** Time without a relayed answer after which a gateway watches the store itself. */
+Duration relayTimeout(const Gateway &gateway);
+/** Whether relayed answers show that all changes are known, so that no watch call is needed. */
+bool isFollowing(const Gateway &gateway);
+/** Passes an answer to the own watch call from version @p from on to the subscribers. */
+void relayAnswer(Gateway &gateway, const StoreVersion &from, const Platform::StoreItems &events);
+void handleRelay(Gateway &gateway, const PeerMessage &message);
+/** Subscribes to the gateways that watch for this one, or renews the subscriptions. */
+void renewSubscriptions(Gateway &gateway);
 /** Reads the changes of configuration, members and registrations at once, and holds new requests until the store has answered. */
 void refreshStore(Gateway &gateway);
 /** Applies the writing or removal of an operator's request to evacuate a failure domain. */
@@ -530,6 +565,7 @@
     std::map<std::string, RetryBudget> m_retryBudgets; ///< by service
     std::map<std::string, SizeMean> m_sizes; ///< by route
     StoreClient m_store;
+    RelayState m_relay;
 
     NetListener m_frontListener;
     NetListener m_readyListener;
@@ -565,6 +601,7 @@
     std::array<uint64_t, static_cast<size_t>(Reason::Count)> m_refusals{};
     std::array<uint64_t, static_cast<size_t>(Reason::Count)> m_retries{}; ///< by reason
     uint64_t m_answered = 0; ///< forwarded answers of replicas
+    uint64_t m_watchCalls = 0; ///< watch calls to the key-value store
     uint64_t m_invalidItems = 0; ///< items of the key-value store that were left out
 };
 
--- a/src/gateway_store.cpp
+++ b/src/gateway_store.cpp
@@ -439,7 +439,8 @@
     }
 }
 
-/** @param age of the knowledge that the events replace */
+} // namespace
+
 void applyEvents(Gateway &gateway, const Platform::StoreItems &events, Duration age)
 {
     const TimePoint now = gatewayNow(gateway);
@@ -478,6 +479,8 @@
     }
 }
 
+namespace {
+
 void applyRegistrationListing(Gateway &gateway, const std::vector<Platform::StoreItem> &items)
 {
     std::vector<std::pair<ReplicaRecord, StoreVersion>> records;
@@ -626,12 +629,18 @@
         status == HTTP_STATUS_OK ? Platform::decodeItems(body, gateway.m_store.m_era.m_era) : absl::UnavailableError("no answer");
     if (events.ok()) {
         const Duration age = watchAge(gateway);
+        const StoreVersion from = watch.m_version;
         recordWatchAnswer(gateway);
         countUnreadable(gateway, *events);
+        // A relayed answer may have told of newer changes while this call was open.
+        std::erase_if(events->m_items,
+                      [from](const Platform::StoreItem &item) { return item.m_version.revision() != 0 && item.m_version <= from; });
         watch.m_version.advanceTo(events->m_asOf);
+        gateway.m_relay.m_currentAt = gatewayNow(gateway);
         const bool wasCurrent = watch.m_isCurrent;
         watch.m_isProven = wasCurrent && events->m_items.empty();
         applyEvents(gateway, *events, age);
+        relayAnswer(gateway, from, *events);
         confirm(gateway);
         watch.m_timer.start(gateway.m_loop, pauseBeforeCall(gateway, wasCurrent), [&gateway] { callWatch(gateway); });
         return;
@@ -656,10 +665,30 @@
     return others.size() < Sentinels || hash64(gateway.m_settings.m_node) < hash64(others[Sentinels - 1]);
 }
 
+/** Watches again when relayed answers no longer come. */
+void awaitRelay(Gateway &gateway)
+{
+    StoreWatch &watch = gateway.m_store.m_watch;
+    const TimePoint since = std::min(gateway.m_relay.m_receivedAt, gateway.m_relay.m_currentAt);
+    const Duration left = since + relayTimeout(gateway) - gatewayNow(gateway);
+    watch.m_timer.start(gateway.m_loop, left, [&gateway] { callWatch(gateway); });
+}
+
 void callWatch(Gateway &gateway)
 {
     StoreWatch &watch = gateway.m_store.m_watch;
-    const bool isLong = watch.m_isCurrent && watch.m_isProven && !isSentinel(gateway);
+    const bool wasFollowing = std::exchange(gateway.m_relay.m_isFollowing, isFollowing(gateway));
+    if (wasFollowing != gateway.m_relay.m_isFollowing) {
+        writeLog(LogLevel::Info,
+                 "store",
+                 wasFollowing ? "Relayed answers no longer come; watching the key-value store." : "Following the watch of another gateway.",
+                 {{"revision", fmt::format("{}", watch.m_version.revision())}});
+    }
+    if (gateway.m_relay.m_isFollowing) {
+        awaitRelay(gateway);
+        return;
+    }
+    const bool isLong = watch.m_isCurrent && watch.m_isProven && !isSentinel(gateway) && gateway.m_relay.m_subscribers.empty();
     const Duration wait = !watch.m_isCurrent ? ConfirmingWatchWait : isLong ? LongWatchWait : ShortWatchWait;
     const Duration margin = isLong ? LongWatchMargin : ShortWatchMargin;
     writeLog(watch.m_isInterrupted ? LogLevel::Info : LogLevel::Debug,
@@ -668,6 +697,7 @@
              {{"revision", fmt::format("{}", watch.m_version.revision())},
               {"connection", watch.m_connection->m_net == nullptr ? "new" : "kept"},
               {"wait_ms", fmt::format("{}", wait.count() / 1000)}});
+    gateway.m_watchCalls += 1;
     // All keys have the empty prefix.
     const std::string target = Platform::formatWatchTarget("", watch.m_version.revision(), wait);
     callStore(gateway, *watch.m_connection, "GET", target, "", wait + margin, [&gateway](int status, const std::string &body) {
@@ -844,6 +874,7 @@
     watch.m_isListed = false;
     watch.m_isInterrupted = true;
     watch.m_isProven = false;
+    gateway.m_relay.m_currentAt = TimePoint();
     startListing(gateway);
 }
 
@@ -893,9 +924,11 @@
     }
     watch.m_behindTimer.start(gateway.m_loop, watch.m_interval + RevisionSlack, [&gateway, seen] {
         StoreWatch &behind = gateway.m_store.m_watch;
-        if (behind.m_version >= seen || !behind.m_isListed || behind.m_isParked || !behind.m_connection->m_busy) {
+        const bool isCalling = behind.m_connection->m_busy || gateway.m_relay.m_isFollowing;
+        if (behind.m_version >= seen || !behind.m_isListed || behind.m_isParked || !isCalling) {
             return; // up to date, or about to be
         }
+        gateway.m_relay.m_currentAt = TimePoint();
         writeLog(LogLevel::Warning,
                  "store",
                  "Watch misses changes that another gateway has seen; starting it again.",
@@ -907,6 +940,14 @@
     });
 }
 
+void watchNow(Gateway &gateway)
+{
+    const StoreWatch &watch = gateway.m_store.m_watch;
+    if (watch.m_isListed && !watch.m_isParked && !watch.m_connection->m_busy) {
+        callWatch(gateway);
+    }
+}
+
 void refreshStore(Gateway &gateway)
 {
     gateway.m_isUnconfirmed = true;
