--- a/src/gateway_relay.cpp
+++ b/src/gateway_relay.cpp
@@ -23,29 +23,31 @@
     return bytes;
 }
 
-PeerMessage makeRelay(int64_t from, const Platform::StoreItems &events)
+PeerMessage makeRelay(const StoreVersion &from, const Platform::StoreItems &events)
 {
     PeerMessage message;
     message.m_kind = PeerKind::Relay;
-    message.m_fromRevision = from;
-    message.m_revision = events.m_asOf;
+    message.m_era = from.era();
+    message.m_fromRevision = from.revision();
+    message.m_revision = events.m_asOf.revision();
     message.m_isIncomplete = sizeOf(events) > MaxRelayedBytes;
     if (!message.m_isIncomplete) {
         for (const Platform::StoreItem &item : events.m_items) {
-            message.m_items.push_back({item.m_key, item.m_value, item.m_revision, item.m_removed});
+            message.m_items.push_back({item.m_key, item.m_value, item.m_version.revision(), item.m_removed});
         }
     }
     return message;
 }
 
 /** The changes of a relayed answer that are not known yet: another source may have told of some of them. */
-Platform::StoreItems unknownChanges(const PeerMessage &message, int64_t known)
+Platform::StoreItems unknownChanges(const PeerMessage &message, const StoreVersion &known)
 {
     Platform::StoreItems events;
-    events.m_asOf = message.m_revision;
+    events.m_asOf = StoreVersion(message.m_era, message.m_revision);
     for (const RelayedItem &item : message.m_items) {
-        if (item.m_revision > known) {
-            events.m_items.push_back({item.m_key, item.m_value, item.m_revision, item.m_removed});
+        const StoreVersion version(message.m_era, item.m_revision);
+        if (version > known) {
+            events.m_items.push_back({item.m_key, item.m_value, version, item.m_removed});
         }
     }
     return events;
@@ -67,7 +69,7 @@
     return watch.m_isListed && watch.m_isCurrent && !isWatcher && now - since < relayTimeout(gateway);
 }
 
-void relayAnswer(Gateway &gateway, int64_t from, const Platform::StoreItems &events)
+void relayAnswer(Gateway &gateway, const StoreVersion &from, const Platform::StoreItems &events)
 {
     const std::vector<std::string> subscribers = currentSubscribers(gateway.m_relay, gatewayNow(gateway));
     if (subscribers.empty()) {
@@ -82,20 +84,21 @@
 void handleRelay(Gateway &gateway, const PeerMessage &message)
 {
     StoreWatch &watch = gateway.m_store.m_watch;
-    const RelayStep step = decideRelay(watch.m_revision, message.m_fromRevision, message.m_revision);
+    const StoreVersion asOf(message.m_era, message.m_revision);
+    const RelayStep step = decideRelay(watch.m_version, StoreVersion(message.m_era, message.m_fromRevision), asOf);
     if (!watch.m_isListed || step == RelayStep::Ignore) {
         return;
     }
     gateway.m_relay.m_receivedAt = gatewayNow(gateway);
-    const bool isMissing = message.m_isIncomplete && message.m_revision > watch.m_revision;
+    const bool isMissing = message.m_isIncomplete && asOf > watch.m_version;
     if (step == RelayStep::Read || isMissing) {
         gateway.m_relay.m_currentAt = TimePoint();
         watchNow(gateway);
         return;
     }
     const Duration age = watchAge(gateway);
-    const Platform::StoreItems events = unknownChanges(message, watch.m_revision);
-    watch.m_revision = message.m_revision;
+    const Platform::StoreItems events = unknownChanges(message, watch.m_version);
+    watch.m_version.advanceTo(asOf);
     watch.m_answeredAt = gatewayNow(gateway);
     gateway.m_relay.m_currentAt = watch.m_answeredAt;
     applyEvents(gateway, events, age);
--- a/src/serving_relay.cpp
+++ b/src/serving_relay.cpp
@@ -86,8 +86,11 @@
     return nodes;
 }
 
-RelayStep decideRelay(int64_t known, int64_t from, int64_t asOf)
+RelayStep decideRelay(const StoreVersion &known, const StoreVersion &from, const StoreVersion &asOf)
 {
+    if (asOf.era() > known.era()) {
+        return RelayStep::Read; // the store was restored: only its own answer may begin an era here
+    }
     if (asOf < known) {
         return RelayStep::Ignore;
     }
--- a/tests/test_relay.cpp
+++ b/tests/test_relay.cpp
@@ -101,11 +101,14 @@
     // Guards against changes that are skipped because the answer before them was lost, and against older knowledge that replaces newer.
     void gapsAreReadFromTheStore()
     {
-        CPPUNIT_ASSERT(decideRelay(10, 10, 12) == RelayStep::Apply);
-        CPPUNIT_ASSERT(decideRelay(10, 8, 12) == RelayStep::Apply);
-        CPPUNIT_ASSERT(decideRelay(10, 10, 10) == RelayStep::Apply);
-        CPPUNIT_ASSERT(decideRelay(10, 11, 12) == RelayStep::Read);
-        CPPUNIT_ASSERT(decideRelay(10, 5, 9) == RelayStep::Ignore);
+        CPPUNIT_ASSERT(decideRelay(StoreVersion(0, 10), StoreVersion(0, 10), StoreVersion(0, 12)) == RelayStep::Apply);
+        CPPUNIT_ASSERT(decideRelay(StoreVersion(0, 10), StoreVersion(0, 8), StoreVersion(0, 12)) == RelayStep::Apply);
+        CPPUNIT_ASSERT(decideRelay(StoreVersion(0, 10), StoreVersion(0, 10), StoreVersion(0, 10)) == RelayStep::Apply);
+        CPPUNIT_ASSERT(decideRelay(StoreVersion(0, 10), StoreVersion(0, 11), StoreVersion(0, 12)) == RelayStep::Read);
+        CPPUNIT_ASSERT(decideRelay(StoreVersion(0, 10), StoreVersion(0, 5), StoreVersion(0, 9)) == RelayStep::Ignore);
+        // Revisions of another era can't be compared with what is known.
+        CPPUNIT_ASSERT(decideRelay(StoreVersion(1, 10), StoreVersion(0, 10), StoreVersion(0, 12)) == RelayStep::Ignore);
+        CPPUNIT_ASSERT(decideRelay(StoreVersion(0, 10), StoreVersion(1, 10), StoreVersion(1, 12)) == RelayStep::Read);
     }
 
     /** Registers members that do not exist, so that the fleet is large enough for relays. */
