--- a/tests/gateway_world.h
+++ b/tests/gateway_world.h
@@ -15,6 +15,7 @@
 #include <set>
 #include <spawn.h>
 #include <string>
+#include <sys/resource.h>
 #include <sys/wait.h>
 #include <unistd.h>
 #include <vector>
@@ -368,16 +369,18 @@
         process.m_front = freeAddress();
         process.m_ready = freeAddress();
         process.m_settings = fmt::format("/tmp/medlarramp-test-{}-{}.json", getpid(), node);
-        std::ofstream(process.m_settings) << nlohmann::json{{"node", node},
-                                                            {"failure_domain", "z1"},
-                                                            {"front", process.m_front},
-                                                            {"readiness", process.m_ready},
-                                                            {"peers", freeAddress()},
-                                                            {"store", m_store.m_server.address()},
-                                                            {"drain_ms", drainMs},
-                                                            {"leaving_ms", 1500},
-                                                            {"repeat_ratio", 0.2},
-                                                            {"repeat_extra", 50}};
+        nlohmann::json settings = {{"node", node},
+                                   {"failure_domain", "z1"},
+                                   {"front", process.m_front},
+                                   {"readiness", process.m_ready},
+                                   {"peers", freeAddress()},
+                                   {"store", m_store.m_server.address()},
+                                   {"drain_ms", drainMs},
+                                   {"leaving_ms", 1500},
+                                   {"repeat_ratio", 0.2},
+                                   {"repeat_extra", 50}};
+        settings.update(m_extraSettings);
+        std::ofstream(process.m_settings) << settings;
         const std::string program = programPath();
         std::vector<std::string> words = {program, "gateway", "--settings", process.m_settings};
         std::vector<char *> arguments;
@@ -386,7 +389,14 @@
             arguments.push_back(word.data());
         }
         arguments.push_back(nullptr);
-        CPPUNIT_ASSERT_EQUAL(0, posix_spawn(&process.m_pid, program.c_str(), nullptr, nullptr, arguments.data(), environ));
+        // A spawned process inherits the limits of this one.
+        rlimit limit{};
+        CPPUNIT_ASSERT_EQUAL(0, getrlimit(RLIMIT_NOFILE, &limit));
+        const rlimit lowered{m_descriptors == 0 ? limit.rlim_cur : m_descriptors, limit.rlim_max};
+        CPPUNIT_ASSERT_EQUAL(0, setrlimit(RLIMIT_NOFILE, &lowered));
+        const int code = posix_spawn(&process.m_pid, program.c_str(), nullptr, nullptr, arguments.data(), environ);
+        CPPUNIT_ASSERT_EQUAL(0, setrlimit(RLIMIT_NOFILE, &limit));
+        CPPUNIT_ASSERT_EQUAL(0, code);
         m_processes.push_back(process);
     }
 
@@ -448,6 +458,8 @@
     NetLoop m_loop;
     Clock m_clock;
     FakeStore m_store;
+    nlohmann::json m_extraSettings = nlohmann::json::object(); ///< added to the settings file of each gateway
+    rlim_t m_descriptors = 0; ///< limit on the open files of each gateway; 0: that of the test process
 
 private:
     static std::string programPath()
