Bound the bytes held and the connections of callers

One account by kind (callers, replicas, peers; the store by its reader's limit), bounds from memory_mb and the limit on open files. At a bound the holder that has gone longest without progress is dropped (src/serving_memory.cpp, src/gateway_memory.cpp).

--- a/src/core.h
+++ b/src/core.h
@@ -161,6 +161,7 @@
     Draining,
     QuotaExceeded,
     BatchStoreFull,
+    MemoryLimited,
     // Refusals by state
     ConfigurationMissing,
     CrashGuard,
@@ -188,6 +189,7 @@
     InvalidAnswer,
     RetryBudgetExhausted,
     CallerGone,
+    CallerStalled,
     Preempted,
     Hedged,
     LateResult,
--- a/src/gateway_attempts.cpp
+++ b/src/gateway_attempts.cpp
@@ -216,8 +216,8 @@
     return events;
 }
 
-/** Forwards complete events to the caller. @return false when the exchange was aborted because the caller reads too slowly. */
-bool forwardEvents(Gateway &gateway, Exchange &exchange, HttpReader &reader)
+/** Forwards complete events to the caller. */
+void forwardEvents(Gateway &gateway, Exchange &exchange, HttpReader &reader)
 {
     exchange.m_attempt->m_partialEvent += std::exchange(reader.m_body, std::string());
     if (!exchange.m_attempt->m_began && exchange.m_attempt->m_partialEvent.find("\n\n") != std::string::npos) {
@@ -226,15 +226,12 @@
     }
     const std::string events = takeEvents(exchange);
     if (events.empty()) {
-        return true;
+        return;
     }
     if (exchange.m_streaming) {
-        const bool sent = sendEvents(*exchange.m_caller, events);
-        if (!sent) {
-            // The caller reads too slowly; there is no reason of its own for this.
-            abortExchange(gateway, exchange, Reason::ConnectionSilent);
-        }
-        return sent;
+        sendEvents(gateway, *exchange.m_caller, events);
+        throttleUpstream(gateway, exchange);
+        return;
     }
     exchange.m_streaming = true;
     exchange.m_attempts.m_answerStarted = true;
@@ -244,7 +241,7 @@
     const Duration latency = gatewayNow(gateway) - exchange.m_attempt->m_startedAt;
     recordAttempt(gateway, exchange.m_attempt->m_replica, false, false, latency);
     beginStream(gateway, *exchange.m_caller, reader.m_status, answerHeaders(reader), events);
-    return true;
+    throttleUpstream(gateway, exchange);
 }
 
 bool isSuccessWithSeal(const HttpReader &reader)
@@ -254,9 +251,7 @@
 
 void handleStreamEnd(Gateway &gateway, Exchange &exchange, HttpReader &reader, CallEnd end)
 {
-    if (!forwardEvents(gateway, exchange, reader)) {
-        return;
-    }
+    forwardEvents(gateway, exchange, reader);
     const bool whole = end == CallEnd::Done && exchange.m_attempt->m_partialEvent.empty();
     if (whole && exchange.m_streaming) {
         releaseReplica(gateway, exchange);
@@ -274,8 +269,8 @@
 {
     const HttpHeaders headers = answerHeaders(reader);
     const int status = reader.m_status;
-    const std::string body = std::move(reader.m_body);
-    finishExchange(gateway, exchange, status, headers, body);
+    std::string body = std::move(reader.m_body);
+    finishExchange(gateway, exchange, status, headers, std::move(body));
 }
 
 /** Handles a complete error answer of a replica: retries a server error if allowed, otherwise forwards the answer. */
@@ -400,9 +395,10 @@
         return;
     }
     HttpReader &reader = answerReader(call);
-    if (!isSuccessWithSeal(reader) || !forwardEvents(gateway, *exchange, reader)) {
+    if (!isSuccessWithSeal(reader)) {
         return;
     }
+    forwardEvents(gateway, *exchange, reader);
     if (exchange->m_attempt->m_partialEvent.size() > MaxEventBytes) {
         exchange->m_attempts.m_sent += 1;
         cancelCall(gateway, call.m_number);
--- a/src/gateway_peers.cpp
+++ b/src/gateway_peers.cpp
@@ -193,6 +193,11 @@
 void readPeer(Gateway &gateway, PeerLink &link, std::string_view data)
 {
     link.m_lastReceivedAt = gatewayNow(gateway);
+    makeRoom(gateway, HolderKind::Peer, data.size());
+    if (!isLinked(gateway, &link)) {
+        return;
+    }
+    addHeld(gateway, HolderKind::Peer, data.size());
     link.m_buffer += data;
     while (link.m_buffer.size() >= LengthBytes) {
         uint32_t size = 0;
@@ -247,10 +252,18 @@
     if (!hasOpenTasks(gateway, node)) {
         link->m_lastReceivedAt = gatewayNow(gateway); // the timeout starts with the first open task
     }
-    link->m_net->write(encodeMessage(message));
+    std::string text = encodeMessage(message);
+    addHeld(gateway, HolderKind::Peer, text.size());
+    link->m_net->write(std::move(text));
     return true;
 }
 
+void dropPeer(Gateway &gateway, PeerLink &link)
+{
+    countReason(gateway.m_refusals, Reason::MemoryLimited);
+    dropLink(gateway, link, "memory limit");
+}
+
 void checkPeers(Gateway &gateway)
 {
     const TimePoint now = gatewayNow(gateway);
--- a/src/gateway_requests.cpp
+++ b/src/gateway_requests.cpp
@@ -303,12 +303,12 @@
     sendOwnAnswer(gateway, exchange, status, ownHeaders(exchange), reason);
 }
 
-void finishExchange(Gateway &gateway, Exchange &exchange, int status, const HttpHeaders &headers, std::string_view body)
+void finishExchange(Gateway &gateway, Exchange &exchange, int status, const HttpHeaders &headers, std::string body)
 {
     gateway.m_answered += 1;
     CallerConnection &caller = *exchange.m_caller;
     removeExchange(gateway, exchange);
-    sendAnswer(gateway, caller, status, headers, body);
+    sendAnswer(gateway, caller, status, headers, std::move(body));
 }
 
 void finishStream(Gateway &gateway, Exchange &exchange)
--- a/src/gateway_run.cpp
+++ b/src/gateway_run.cpp
@@ -67,6 +67,12 @@
              "Items of the key-value store that were left out because they can't be read",
              static_cast<double>(gateway.m_invalidItems));
     addGauge(registry, "medlarramp_open_requests", "Requests not answered yet", static_cast<double>(gateway.m_exchanges.size()));
+    auto &held = prometheus::BuildGauge().Name("medlarramp_held_bytes").Help("Bytes held, by kind; an upper estimate").Register(registry);
+    for (const auto &[kind, name] :
+         {std::pair(HolderKind::Caller, "callers"), {HolderKind::Upstream, "replicas"}, {HolderKind::Peer, "peers"}}) {
+        held.Add({{"kind", name}}).Set(static_cast<double>(gateway.m_memory.m_held[static_cast<size_t>(kind)]));
+    }
+    addGauge(registry, "medlarramp_caller_connections", "Open connections of callers", static_cast<double>(gateway.m_callers.size()));
     addGauge(registry, "medlarramp_gateways", "Gateways in the membership", static_cast<double>(gateway.m_membership.m_members.size()));
     addGauge(registry, "medlarramp_replicas", "Replicas in the registry", static_cast<double>(gateway.m_registry.m_replicas.size()));
     const double version = gateway.m_configuration ? static_cast<double>(gateway.m_configuration->m_version) : 0;
@@ -104,28 +110,69 @@
     return formatAnswer(HTTP_STATUS_NOT_FOUND, {}, "", reader.m_keepAlive);
 }
 
+/** Answers the requests in @p data until answers are unread, and keeps the rest. */
+void readReadiness(Gateway &gateway, CallerConnection &connection, std::string_view data)
+{
+    HttpReader &reader = connection.m_reader;
+    while (!data.empty() && connection.m_net->queuedBytes() < MaxUnansweredBytes) {
+        const bool fresh = !reader.m_started;
+        const size_t before = reader.occupiedBytes();
+        data.remove_prefix(reader.feed(data));
+        const size_t after = reader.occupiedBytes();
+        addHeld(gateway, HolderKind::Caller, after > before ? after - before : 0);
+        if (reader.m_state == ParseState::Done) {
+            connection.m_net->write(answerReadiness(gateway, reader));
+            reader.reset();
+            startIdleTimeout(gateway, connection);
+        } else if (reader.m_state != ParseState::Head && reader.m_state != ParseState::Body) {
+            connection.m_net->closeAfterWrites();
+            gateway.m_readinessConnections.erase(connection.m_self);
+            return;
+        } else if (fresh) {
+            startHeadTimeout(gateway, connection);
+        }
+    }
+    connection.m_pending += data;
+    if (connection.m_pending.empty()) {
+        connection.m_net->resumeReading();
+    } else {
+        connection.m_net->pauseReading();
+    }
+}
+
 void acceptReadiness(Gateway &gateway, NetConnection *net)
 {
+    if (!makeRoomForReadiness(gateway)) {
+        countReason(gateway.m_refusals, Reason::TooManyConnections);
+        net->close();
+        return;
+    }
     CallerLimits limits;
     limits.m_headBytes = MaxReadinessRequestBytes;
     limits.m_bodyBytes = MaxReadinessRequestBytes;
     CallerConnection &connection = gateway.m_readinessConnections.emplace_back(limits);
     connection.m_self = std::prev(gateway.m_readinessConnections.end());
     connection.m_net = net;
+    connection.m_isReadiness = true;
+    connection.m_progressAt = gatewayNow(gateway);
+    addHeld(gateway, HolderKind::Caller, ConnectionBytes);
     net->m_onData = [&gateway, &connection](std::string_view data) {
-        while (!data.empty()) {
-            data.remove_prefix(connection.m_reader.feed(data));
-            if (connection.m_reader.m_state == ParseState::Done) {
-                connection.m_net->write(answerReadiness(gateway, connection.m_reader));
-                connection.m_reader.reset();
-            } else if (connection.m_reader.m_state != ParseState::Head && connection.m_reader.m_state != ParseState::Body) {
-                connection.m_net->closeAfterWrites();
-                gateway.m_readinessConnections.erase(connection.m_self);
-                return;
-            }
+        connection.m_progressAt = gatewayNow(gateway);
+        bool isGone = false;
+        connection.m_isGone = &isGone;
+        makeRoom(gateway, HolderKind::Caller, data.size());
+        if (!isGone) {
+            connection.m_isGone = nullptr;
+            readReadiness(gateway, connection, data);
         }
     };
+    net->m_onWritten = [&gateway, &connection] {
+        connection.m_progressAt = gatewayNow(gateway);
+        const std::string pending = std::exchange(connection.m_pending, std::string());
+        readReadiness(gateway, connection, pending);
+    };
     net->m_onClose = [&gateway, &connection](CloseCause, const absl::Status &) { gateway.m_readinessConnections.erase(connection.m_self); };
+    startIdleTimeout(gateway, connection);
 }
 
 //-----------------------------------------------------------------------------
@@ -192,6 +239,10 @@
     if (left <= AnswerMargin) {
         refusePartialRequests(gateway);
     }
+    if (elapsed >= ListenAfterSigterm) {
+        // A caller whose connection is refused can go elsewhere; one that is accepted later might be cut off at the exit.
+        gateway.m_frontListener.closeAfterPending();
+    }
     if (elapsed >= ListenAfterSigterm && (isIdle(gateway) || left <= ExitMargin)) {
         writeLog(LogLevel::Info,
                  "main",
@@ -218,6 +269,7 @@
     noticePause(gateway);
     gateway.m_lastTickAt = gatewayNow(gateway);
     checkPeers(gateway);
+    checkProgress(gateway);
     gossipRefusals(gateway);
     gossipRevision(gateway);
     closeIdleUpstreams(gateway);
@@ -286,6 +338,7 @@
     gateway.m_clock = &clock;
     gateway.m_random.m_state = entropySeed();
     initLoop(gateway.m_loop, clock);
+    initMemory(gateway);
     const std::optional<SocketAddress> store = parseSocketAddress(settings.m_storeAddress);
     if (!store) {
         return absl::InvalidArgumentError("invalid store address: " + settings.m_storeAddress);
--- a/src/gateway_store.cpp
+++ b/src/gateway_store.cpp
@@ -91,6 +91,9 @@
     options.m_connectTimeout = StoreConnectTimeout;
     options.m_silenceTimeout = StoreSilenceTimeout;
     connection.m_reader.reset();
+    // Only the answers to the watch and its listings are large, and only one of them is open at a time.
+    const size_t maxBody = std::min(StoreConnection::MaxBodyBytes, gateway.m_memory.m_limits[HolderKind::Store]);
+    connection.m_reader.setLimits(StoreConnection::MaxHeadBytes, maxBody);
     connection.m_isConnected = false;
     connection.m_net = NetConnection::connect(gateway.m_loop, gateway.m_store.m_address, options);
     connection.m_net->m_onConnect = [&connection] { connection.m_isConnected = true; };
--- a/src/gateway_upstreams.cpp
+++ b/src/gateway_upstreams.cpp
@@ -189,6 +189,15 @@
 void readAnswer(Gateway &gateway, UpstreamConnection *connection, std::string_view data)
 {
     HttpReader &reader = connection->m_reader;
+    if (connection->m_call != nullptr) {
+        const uint64_t number = connection->m_call->m_number;
+        connection->m_call->m_lastByteAt = gatewayNow(gateway);
+        makeRoom(gateway, HolderKind::Upstream, data.size());
+        if (!gateway.m_calls.contains(number)) {
+            return;
+        }
+        addHeld(gateway, HolderKind::Upstream, data.size());
+    }
     while (!data.empty()) {
         if (connection->m_call == nullptr) {
             closeUpstream(gateway, connection); // bytes without an open request
@@ -352,6 +361,18 @@
     closeUpstream(gateway, connection);
 }
 
+void dropCall(Gateway &gateway, uint64_t number)
+{
+    const auto call = gateway.m_calls.find(number);
+    if (call == gateway.m_calls.end()) {
+        return;
+    }
+    countReason(gateway.m_refusals, Reason::MemoryLimited);
+    UpstreamConnection *connection = call->second->m_connection;
+    connection->m_reader.reset();
+    finishCall(gateway, connection, call->second->m_sent ? CallEnd::Malformed : CallEnd::NotConnected);
+}
+
 HttpReader &answerReader(UpstreamCall &call)
 {
     return call.m_connection->m_reader;
--- a/src/net.h
+++ b/src/net.h
@@ -15,6 +15,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <list>
 #include <memory>
 #include <optional>
 #include <string>
@@ -43,6 +44,7 @@
 struct NetLoop {
     uv_loop_t m_loop{};
     std::unordered_set<NetConnection *> m_connections; ///< not yet released
+    std::list<NetConnection *> m_lingering; ///< close after their writes and have no owner any more; the longest such first
     Clock *m_clock = nullptr;
     std::vector<char> m_readBuffer;
 };
@@ -116,11 +118,14 @@
 public:
     std::function<void()> m_onConnect; ///< outgoing connections only
     std::function<void(std::string_view)> m_onData;
+    std::function<void()> m_onWritten; ///< queued data has been passed to the system
     std::function<void(CloseCause, absl::Status)> m_onClose;
     bool m_mustFlush = false; ///< what is queued here is to be written before the process exits
 
     static NetConnection *connect(NetLoop &loop, const SocketAddress &address, const ConnectionOptions &options);
     static NetConnection *accept(NetLoop &loop, uv_stream_t *listener, const ConnectionOptions &options);
+    /** Takes over an accepted socket. */
+    static NetConnection *adopt(NetLoop &loop, int descriptor, const ConnectionOptions &options);
 
     /** Writes at once what the socket takes and queues the rest. */
     void write(std::string data);
@@ -130,6 +135,12 @@
     /** Ends the connection by a reset, so that the peer can't take it for the end of an answer. */
     void resetConnection();
     [[nodiscard]] size_t queuedBytes() const;
+    /** Reads nothing until resumeReading(), so that the peer can't send more than the system buffers. A close is noticed later. */
+    void pauseReading();
+    void resumeReading();
+    [[nodiscard]] bool isReadingPaused() const;
+    /** Last time at which the peer took queued bytes, as far as calls of this function tell; now if there are none. */
+    TimePoint observeWrites();
 
 private:
     explicit NetConnection(NetLoop &loop);
@@ -153,6 +164,10 @@
     bool m_closing = false;
     bool m_closeAfterWrites = false;
     bool m_discards = false; ///< received bytes are dropped
+    bool m_isPaused = false;
+    bool m_isLingering = false;
+    size_t m_unsent = 0; ///< bytes not yet passed to the system at the last call of observeWrites()
+    TimePoint m_writtenAt;
 };
 
 class NetListener
@@ -169,6 +184,8 @@
     /** The port listened on, also when port 0 asked for any. */
     [[nodiscard]] int port() const;
     void close();
+    /** Accepts the connections that the system has already established, and closes: none of them is reset unread. */
+    void closeAfterPending();
 
 private:
     struct Handle;
@@ -188,6 +205,9 @@
 
 using HttpHeaders = std::vector<HttpHeader>;
 
+/** Memory that the fields occupy, which for short ones is many times their bytes. */
+size_t occupiedBytes(const HttpHeaders &headers);
+
 bool equalHeaderNames(std::string_view left, std::string_view right);
 /** Value of the first header of that name; nothing when absent. */
 std::optional<std::string_view> findHeader(const HttpHeaders &headers, std::string_view name);
@@ -207,6 +227,8 @@
 /** Head of a request with Content-Length where the method has a body or one is given. */
 std::string formatRequest(const std::string &method, const std::string &target, const HttpHeaders &headers, std::string_view body);
 std::string formatAnswer(int status, const HttpHeaders &headers, std::string_view body, bool keepAlive);
+/** Head of an answer whose body of @p bodyBytes follows. */
+std::string formatAnswerHead(int status, const HttpHeaders &headers, size_t bodyBytes, bool keepAlive);
 /** Head of an answer whose body follows in chunks. */
 std::string formatChunkedHead(int status, const HttpHeaders &headers, bool keepAlive);
 std::string formatChunk(std::string_view data);
@@ -241,6 +263,8 @@
     /** Prepares for the next message on the connection. */
     void reset();
     void setLimits(size_t maxHeadBytes, size_t maxBodyBytes);
+    /** Memory that the message occupies as far as it was read. */
+    [[nodiscard]] size_t occupiedBytes() const;
 
     ParseState m_state = ParseState::Head;
     bool m_started = false; ///< at least one byte of the message was read
--- a/src/net_http.cpp
+++ b/src/net_http.cpp
@@ -23,6 +23,8 @@
     "expect",
 };
 
+constexpr size_t FieldFramingBytes = 3; ///< of a header field: colon and line end; a space after the colon may be left out
+
 HttpReader &readerOf(http_parser *parser)
 {
     return *static_cast<HttpReader *>(parser->data);
@@ -62,6 +64,15 @@
     return left.size() == right.size() && strncasecmp(left.data(), right.data(), left.size()) == 0;
 }
 
+size_t occupiedBytes(const HttpHeaders &headers)
+{
+    size_t bytes = headers.capacity() * sizeof(HttpHeader);
+    for (const HttpHeader &header : headers) {
+        bytes += header.m_name.capacity() + header.m_value.capacity();
+    }
+    return bytes;
+}
+
 std::optional<std::string_view> findHeader(const HttpHeaders &headers, std::string_view name)
 {
     for (const HttpHeader &header : headers) {
@@ -114,14 +125,20 @@
 }
 
 std::string formatAnswer(int status, const HttpHeaders &headers, std::string_view body, bool keepAlive)
+{
+    std::string text = formatAnswerHead(status, headers, body.size(), keepAlive);
+    text += body;
+    return text;
+}
+
+std::string formatAnswerHead(int status, const HttpHeaders &headers, size_t bodyBytes, bool keepAlive)
 {
     std::string text = formatStatusLine(status);
     appendHeaders(text, headers);
     if (status != HTTP_STATUS_NO_CONTENT && status != HTTP_STATUS_NOT_MODIFIED) {
-        text += fmt::format("Content-Length: {}\r\n", body.size());
+        text += fmt::format("Content-Length: {}\r\n", bodyBytes);
     }
     text += keepAlive ? "\r\n" : "Connection: close\r\n\r\n";
-    text += body;
     return text;
 }
 
@@ -171,8 +188,9 @@
     m_status = 0;
     m_method.clear();
     m_target.clear();
-    m_headers.clear();
-    m_body.clear();
+    // Their memory is released as well: a pooled connection must not keep that of its largest message.
+    m_headers = HttpHeaders();
+    m_body = std::string();
     m_keepAlive = true;
     m_expectContinue = false;
     m_headBytes = 0;
@@ -205,6 +223,12 @@
     }
 }
 
+size_t HttpReader::occupiedBytes() const
+{
+    // A string may have twice the capacity that it needs.
+    return m_headers.capacity() * sizeof(HttpHeader) + 2 * m_headBytes + m_body.size();
+}
+
 bool HttpReader::countHead(size_t bytes)
 {
     m_headBytes += bytes;
@@ -231,6 +255,7 @@
     if (self.m_lastWasValue) {
         self.m_headers.emplace_back();
         self.m_lastWasValue = false;
+        self.m_headBytes += FieldFramingBytes;
     }
     self.m_headers.back().m_name.append(data, length);
     return self.countHead(length) ? 0 : 1;
@@ -269,6 +294,10 @@
         self.m_state = ParseState::BodyTooLarge;
         return -1;
     }
+    if (!chunked && self.m_framed && self.m_type == HTTP_REQUEST) {
+        // Growing step by step needs up to three times the size for a moment. Pages that are never written take no memory.
+        self.m_body.reserve(parser->content_length);
+    }
     return 0;
 }
 
--- a/src/net_loop.cpp
+++ b/src/net_loop.cpp
@@ -3,6 +3,7 @@
 #include <cstring>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include <fmt/format.h>
 
@@ -218,6 +219,21 @@
     return connection;
 }
 
+NetConnection *NetConnection::adopt(NetLoop &loop, int descriptor, const ConnectionOptions &options)
+{
+    auto *connection = new NetConnection(loop);
+    connection->m_options = options;
+    if (uv_tcp_open(&connection->m_tcp, descriptor) != 0) {
+        ::close(descriptor);
+        connection->close();
+        return nullptr;
+    }
+    connection->m_connected = true;
+    connection->applyOptions();
+    connection->startReading();
+    return connection;
+}
+
 void NetConnection::applyOptions()
 {
     uv_tcp_nodelay(&m_tcp, 1);
@@ -240,7 +256,40 @@
 
 void NetConnection::startReading()
 {
-    uv_read_start(reinterpret_cast<uv_stream_t *>(&m_tcp), onAlloc, onRead);
+    if (!m_isPaused) {
+        uv_read_start(reinterpret_cast<uv_stream_t *>(&m_tcp), onAlloc, onRead);
+    }
+}
+
+void NetConnection::pauseReading()
+{
+    m_isPaused = true;
+    uv_read_stop(reinterpret_cast<uv_stream_t *>(&m_tcp));
+}
+
+void NetConnection::resumeReading()
+{
+    if (m_isPaused && !m_closing) {
+        m_isPaused = false;
+        if (m_connected) {
+            startReading();
+        }
+    }
+}
+
+bool NetConnection::isReadingPaused() const
+{
+    return m_isPaused;
+}
+
+TimePoint NetConnection::observeWrites()
+{
+    const size_t unsent = uv_stream_get_write_queue_size(reinterpret_cast<const uv_stream_t *>(&m_tcp));
+    if (unsent == 0 || unsent < m_unsent || m_unsent == 0) {
+        m_writtenAt = loopNow(*m_netLoop);
+    }
+    m_unsent = unsent;
+    return m_writtenAt;
 }
 
 void NetConnection::onAlloc(uv_handle_t *handle, size_t /*suggested*/, uv_buf_t *buffer)
@@ -297,17 +346,29 @@
     struct Write {
         uv_write_t m_request{};
         std::string m_data;
-        size_t m_size = 0;
+        size_t m_size = 0; ///< memory that it occupies
     };
-    auto *pending = new Write{{}, data.substr(written), data.size() - written};
+    // A small rest is copied, so that it doesn't keep a large buffer; a large one is not, as both would be held for a moment.
+    const bool isCopied = data.size() - written < data.size() / 2;
+    const size_t offset = isCopied ? 0 : written;
+    auto *pending = new Write{{}, isCopied ? data.substr(written) : std::move(data), 0};
+    pending->m_size = pending->m_data.size() + sizeof(Write);
     pending->m_request.data = pending;
     m_queued += pending->m_size;
-    uv_buf_t buffer = uv_buf_init(pending->m_data.data(), static_cast<unsigned>(pending->m_size));
-    const int code = uv_write(&pending->m_request, stream, &buffer, 1, [](uv_write_t *request, int /*status*/) {
+    uv_buf_t buffer = uv_buf_init(pending->m_data.data() + offset, static_cast<unsigned>(pending->m_data.size() - offset));
+    const int code = uv_write(&pending->m_request, stream, &buffer, 1, [](uv_write_t *request, int status) {
         const std::unique_ptr<Write> done(static_cast<Write *>(request->data));
         auto *self = static_cast<NetConnection *>(request->handle->data);
         self->m_queued -= done->m_size;
+        if (status != 0 && self->m_isPaused) {
+            // The read side, which reports errors otherwise, is switched off.
+            self->finish(CloseCause::Reset, toStatus(status, "write"));
+            return;
+        }
         self->shutdownWhenDrained();
+        if (self->m_onWritten && !self->m_closing && !self->m_discards) {
+            self->m_onWritten();
+        }
     });
     if (code != 0) {
         m_queued -= pending->m_size;
@@ -321,6 +382,11 @@
     m_closeAfterWrites = true;
     m_discards = true;
     m_onClose = nullptr;
+    if (!m_closing && !m_isLingering) {
+        m_isLingering = true;
+        m_netLoop->m_lingering.push_back(this);
+    }
+    resumeReading();
     shutdownWhenDrained();
 }
 
@@ -377,6 +443,9 @@
         return;
     }
     m_closing = true;
+    if (std::exchange(m_isLingering, false)) {
+        m_netLoop->m_lingering.remove(this);
+    }
     m_connectTimer.stop();
     m_onClose = nullptr;
     m_onConnect = nullptr;
@@ -439,6 +508,19 @@
     return ntohs(local.sin_port);
 }
 
+void NetListener::closeAfterPending()
+{
+    uv_os_fd_t listening = -1;
+    if (m_handle != nullptr && uv_fileno(reinterpret_cast<const uv_handle_t *>(&m_handle->m_tcp), &listening) == 0) {
+        for (int accepted = 0; (accepted = accept4(listening, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC)) >= 0;) {
+            if (NetConnection *connection = NetConnection::adopt(*m_handle->m_netLoop, accepted, m_handle->m_options)) {
+                m_handle->m_onAccept(connection);
+            }
+        }
+    }
+    close();
+}
+
 void NetListener::close()
 {
     if (m_handle == nullptr) {
--- a/src/serving.h
+++ b/src/serving.h
@@ -14,10 +14,12 @@
  *  [SECTION] Placement      choice of the replica for a request
  *  [SECTION] Retries        the retry budget and the step after a failed attempt
  *  [SECTION] Crashes        requests and prompt parts that crash replicas
+ *  [SECTION] Memory         bounds on bytes held and on connections, and what is dropped at a bound
  *
  * Decisions are free functions over plain structs; time and seed are parameters.
  */
 
+#include <array>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -725,4 +727,68 @@
 /** Refuses @p suspects for @p timeLeft at most, as another gateway does. @return those that were not refused before. */
 CrashSuspects applyRefusals(CrashEvidence &evidence, const CrashSuspects &suspects, Duration timeLeft, TimePoint now);
 
+//-----------------------------------------------------------------------------
+// [SECTION] Memory
+//-----------------------------------------------------------------------------
+
+/** Whose bytes are held. */
+enum class HolderKind : uint8_t {
+    Caller, ///< requests, pipelined bytes and unread answers, also of connections to the readiness address
+    Upstream, ///< answers of replicas that are being read
+    Peer, ///< incomplete messages of other gateways and those that they have not read
+    Store, ///< answers of the key-value store
+    Count
+};
+
+/** Bounds in bytes on what is held of each kind. Their sum and the process itself stay below the memory of the VM. */
+struct MemoryLimits {
+    std::array<size_t, static_cast<size_t>(HolderKind::Count)> m_bytes{};
+
+    size_t operator[](HolderKind kind) const
+    {
+        return m_bytes[static_cast<size_t>(kind)];
+    }
+};
+
+MemoryLimits memoryLimits(int64_t memoryMegabytes);
+
+struct HolderView {
+    size_t m_bytes = 0;
+    TimePoint m_progressAt; ///< last time at which bytes were received from it or taken by it
+};
+
+/** Whether what is held is so close to @p limit that it has to be counted exactly, see chooseDropped(). */
+bool isNearLimit(size_t held, size_t limit);
+
+/**
+ * The holders of one kind that are dropped, by index, first to last, so that the others stay below @p limit: those that have gone
+ * longest without progress. Holders of less than half of the mean come last, as dropping them frees little: a crowd of large
+ * requests must not end the small ones of ordinary callers. Nothing is dropped below the limit; above it, some more than needed, so
+ * that the holders are not counted again for each received byte.
+ * Load: thousands of connections, of which a few hundred hold requests of legal size.
+ */
+std::vector<size_t> chooseDropped(const std::vector<HolderView> &holders, size_t limit);
+
+/** Bounds on the connections of callers and to the readiness address. */
+struct ConnectionLimits {
+    size_t m_callers = 0;
+    size_t m_readiness = 0;
+};
+
+/**
+ * Bounds for a process that may open @p descriptors files. Each caller may need one more for its replica; the rest is left for peers,
+ * stage calls and the store. Load: 1,153 callers at the smallest limit of the deployments, 3,075.
+ */
+ConnectionLimits connectionLimits(uint64_t descriptors);
+
+/**
+ * Unread answer bytes of one caller above which its replica is not read any more. While there is room, as much as is allowed at
+ * most, so that the replica can finish its answer; then little.
+ * @param held bytes held for all callers
+ * @param limit bound on these
+ */
+size_t unreadAllowance(size_t held, size_t limit);
+/** Whether a replica that has not been read for @p pause is read again, although its caller has more than the allowance unread. */
+bool mayReadAhead(Duration pause, bool hasCallerProgressed, size_t held, size_t limit);
+
 } // namespace Medlarramp::Serving
