--- a/src/gateway_callers.cpp
+++ b/src/gateway_callers.cpp
@@ -269,28 +269,39 @@
 void dropStalledCallers(Gateway &gateway)
 {
     const TimePoint oldest = gatewayNow(gateway) - limitsOf(gateway).m_idleTimeout;
-    // Dropping one caller may end others; the next tick finds those that are left.
-    CallerConnection *stalled = nullptr;
+    const auto isStalled = [oldest](NetConnection &net) { return net.queuedBytes() > 0 && net.observeWrites() < oldest; };
+    std::vector<CallerConnection *> stalled;
     for (auto *connections : {&gateway.m_callers, &gateway.m_readinessConnections}) {
         for (CallerConnection &caller : *connections) {
-            if (caller.m_net->queuedBytes() > 0 && caller.m_net->observeWrites() < oldest) {
-                stalled = &caller;
+            if (isStalled(*caller.m_net)) {
+                stalled.push_back(&caller);
             }
         }
     }
-    if (stalled != nullptr) {
-        writeLog(LogLevel::Info, "memory", "Caller has not read its answer for too long; connection closed.");
-        dropCaller(gateway, *stalled, Reason::CallerStalled);
+    for (CallerConnection *caller : stalled) {
+        // Dropping one caller may have ended others.
+        if (isOpen(gateway, caller)) {
+            writeLog(LogLevel::Info, "memory", "Caller has not read its answer for too long; connection closed.");
+            dropCaller(gateway, *caller, Reason::CallerStalled);
+        }
     }
     const std::list<NetConnection *> lingering = gateway.m_loop.m_lingering;
     for (NetConnection *net : lingering) {
-        if (net->queuedBytes() > 0 && net->observeWrites() < oldest) {
+        if (isStalled(*net)) {
             countReason(gateway.m_refusals, Reason::CallerStalled);
             net->resetConnection();
         }
     }
 }
 
+bool isOpen(const Gateway &gateway, const CallerConnection *caller)
+{
+    const auto contains = [caller](const std::list<CallerConnection> &connections) {
+        return std::any_of(connections.begin(), connections.end(), [caller](const CallerConnection &other) { return &other == caller; });
+    };
+    return contains(gateway.m_callers) || contains(gateway.m_readinessConnections);
+}
+
 bool hasPartialRequests(const Gateway &gateway)
 {
     return std::any_of(gateway.m_callers.begin(), gateway.m_callers.end(), isReadInPart);
--- a/src/gateway_internal.h
+++ b/src/gateway_internal.h
@@ -148,6 +148,8 @@
 void acceptCaller(Gateway &gateway, NetConnection *net);
 /** Ends a connection, and the exchange that is open on it, because of @p reason. Answers 503 if a request was read in part. */
 void dropCaller(Gateway &gateway, CallerConnection &caller, Reason reason);
+/** Whether a connection to the callers' or the readiness address still exists. */
+bool isOpen(const Gateway &gateway, const CallerConnection *caller);
 /** Drops the callers that have not taken any byte of their answers for the idle timeout. */
 void dropStalledCallers(Gateway &gateway);
 /** Limits the time without a request. Also for the readiness address. */
--- a/src/gateway_memory.cpp
+++ b/src/gateway_memory.cpp
@@ -104,16 +104,10 @@
     return holders;
 }
 
-template<typename List, typename Item>
-bool contains(const List &list, const Item *wanted)
-{
-    return std::any_of(list.begin(), list.end(), [wanted](const Item &item) { return &item == wanted; });
-}
-
 void dropHolder(Gateway &gateway, const Holder &holder)
 {
     if (holder.m_caller != nullptr) {
-        if (contains(gateway.m_callers, holder.m_caller) || contains(gateway.m_readinessConnections, holder.m_caller)) {
+        if (isOpen(gateway, holder.m_caller)) {
             dropCaller(gateway, *holder.m_caller, Reason::MemoryLimited);
         }
     } else if (holder.m_lingering != nullptr) {
@@ -123,7 +117,8 @@
             holder.m_lingering->resetConnection();
         }
     } else if (holder.m_peer != nullptr) {
-        if (contains(gateway.m_peers, holder.m_peer)) {
+        const auto isHolder = [&holder](const PeerLink &link) { return &link == holder.m_peer; };
+        if (std::any_of(gateway.m_peers.begin(), gateway.m_peers.end(), isHolder)) {
             dropPeer(gateway, *holder.m_peer);
         }
     } else {
--- a/src/gateway_upstreams.cpp
+++ b/src/gateway_upstreams.cpp
@@ -92,6 +92,7 @@
         closeUpstream(gateway, connection);
         return;
     }
+    connection->m_net->resumeReading(); // its last answer may have been throttled
     connection->m_idleLimit = idleLimitOf(connection->m_reader.m_headers);
     connection->m_idleSince = gatewayNow(gateway);
     connection->m_isReused = true;
--- a/tests/test_gateway.cpp
+++ b/tests/test_gateway.cpp
@@ -20,6 +20,7 @@
     CPPUNIT_TEST(resumesStreamAtAnotherReplica);
     CPPUNIT_TEST(abortsStreamWhenResumeIsRefused);
     CPPUNIT_TEST(abortsStreamForCallerThatDoesNotRead);
+    CPPUNIT_TEST(readsReplicaNoFasterThanSlowCaller);
     CPPUNIT_TEST(runsStagesBeforeTheRequest);
     CPPUNIT_TEST(cancelsWorkWhenCallerDisconnects);
     CPPUNIT_TEST(refusesUnknownRoutesAndKeys);
@@ -243,6 +244,42 @@
         CPPUNIT_ASSERT(expected > 0 && expected < Events);
     }
 
+    // Guards against a stream that is aborted or held in full because its caller reads slowly, and against a pooled connection to the
+    // replica that is not read any more after that.
+    void readsReplicaNoFasterThanSlowCaller()
+    {
+        constexpr int Events = 240; // 15 MiB, below the limit of the reader of Caller
+        const std::string filler(64 * 1024, 'x');
+        GatewayHarness harness;
+        FakeServer replica;
+        replica.start(harness.m_loop, [&](FakeServer &, const std::shared_ptr<ReceivedRequest> &request) {
+            std::string stream = formatChunkedHead(200, replicaHeaders(request), true);
+            for (int id = 1; id <= Events; ++id) {
+                stream += formatChunk(fmt::format("id: {}\ndata: {}\n\n", id, filler));
+            }
+            reply(request, stream + std::string(LastChunk));
+        });
+        const GatewayHarness::Process &gateway = startServing(harness, {{"i-1", "model", &replica}});
+        Caller &slow = harness.send(gateway, "POST", "/stream/1", "a1");
+        harness.runUntil("start of the stream", [&] { return !slow.m_raw.empty(); });
+        slow.m_net->pauseReading();
+        harness.runFor(milliseconds(1500));
+        CPPUNIT_ASSERT(!slow.m_closed);
+        // The system's buffers take some of 15 MiB, and the gateway up to 4 MiB.
+        CPPUNIT_ASSERT(replica.m_requests[0]->m_net != nullptr && replica.m_requests[0]->m_net->queuedBytes() > 0);
+        slow.m_net->resumeReading();
+        harness.runUntil("end of the stream", [&] { return slow.isAnswered() || slow.m_closed; });
+        CPPUNIT_ASSERT(slow.isAnswered());
+        int expected = 0;
+        for (size_t at = slow.m_reader.m_body.find("id: "); at != std::string::npos; at = slow.m_reader.m_body.find("id: ", at + 1)) {
+            CPPUNIT_ASSERT_EQUAL(++expected, std::stoi(slow.m_reader.m_body.substr(at + 4, 8)));
+        }
+        CPPUNIT_ASSERT_EQUAL(Events, expected);
+        Caller &next = harness.send(gateway, "POST", "/stream/2", "a2");
+        harness.runUntil("next stream", [&] { return next.isAnswered() || next.m_closed; });
+        CPPUNIT_ASSERT(next.isAnswered());
+    }
+
     // Guards against a request that runs without its inputs, and against results that are never released.
     void runsStagesBeforeTheRequest()
     {
