--- a/src/gateway_memory.cpp
+++ b/src/gateway_memory.cpp
@@ -90,6 +90,15 @@
         holder.m_call = number;
         holders.add(holder, call->m_connection->m_reader.occupiedBytes(), call->m_lastByteAt);
     }
+    // Incomplete events of streams have been taken from the reader. Dropping the call ends them.
+    for (const auto &[number, exchange] : gateway.m_exchanges) {
+        const auto call = gateway.m_calls.find(exchange->m_attempt->m_call);
+        if (call != gateway.m_calls.end()) {
+            Holder holder;
+            holder.m_call = call->first;
+            holders.add(holder, exchange->m_attempt->m_partialEvent.size(), call->second->m_lastByteAt);
+        }
+    }
     return holders;
 }
 
@@ -268,6 +277,7 @@
     dropStalledCallers(gateway);
     for (const HolderKind kind : {HolderKind::Caller, HolderKind::Upstream, HolderKind::Peer}) {
         countHolders(gateway, kind);
+        makeRoom(gateway, kind, 0); // also of what was held without received bytes, such as answers that are queued
     }
     for (const auto &[number, exchange] : gateway.m_exchanges) {
         resumeUpstream(gateway, *exchange);
--- a/tests/test_hostile_callers.cpp
+++ b/tests/test_hostile_callers.cpp
@@ -362,6 +362,7 @@
     CPPUNIT_TEST(survivesReadersThatStop);
     CPPUNIT_TEST(survivesStreamReadersThatStop);
     CPPUNIT_TEST(survivesReplicasThatSendWithoutEnd);
+    CPPUNIT_TEST(survivesEventsWithoutEnd);
     CPPUNIT_TEST(survivesSilentConnections);
     CPPUNIT_TEST(cutsOffNoLateRequests);
     CPPUNIT_TEST_SUITE_END();
@@ -563,6 +564,24 @@
         CPPUNIT_ASSERT_MESSAGE(faults, faults.empty());
     }
 
+    // As above, for streams whose first event has no end: each is below the limit on one event.
+    void survivesEventsWithoutEnd()
+    {
+        const auto sendEventWithoutEnd = [](FakeServer &, const std::shared_ptr<ReceivedRequest> &request) {
+            const std::string head = formatChunkedHead(200, replicaHeaders(request), true);
+            reply(request, head + formatChunk("data: " + std::string(250 * 1024, 'y')));
+        };
+        HostileWorld world(SmallMemoryMegabytes, json::object(), sendEventWithoutEnd);
+        for (size_t i = 0; i < 140; ++i) {
+            ClientScript script;
+            script.m_address = world.m_gateway->m_front;
+            script.m_text = share(bodyHead("/stream/1", "Content-Length: 0", i));
+            world.add(script);
+        }
+        const std::string faults = world.play("events without end");
+        CPPUNIT_ASSERT_MESSAGE(faults, faults.empty());
+    }
+
     // Guards against idle connections that take all descriptors, so that none is left for callers, replicas and the store.
     void survivesSilentConnections()
     {
