--- a/tests/test_hostile_callers.cpp
+++ b/tests/test_hostile_callers.cpp
@@ -183,7 +183,7 @@
     /** @p plain answers the crowd's requests at /plain/ and /read/; those of ordinary callers are answered at once. */
     explicit HostileWorld(int memoryMegabytes = SmallMemoryMegabytes,
                           const json &limits = {{"max_body_bytes", SmallBodyBytes}},
-                          FakeServer::Handler plain = answerOk,
+                          const FakeServer::Handler &plain = answerOk,
                           rlim_t openFiles = 0)
         : m_memoryMegabytes(memoryMegabytes)
     {
@@ -254,6 +254,12 @@
         return caller.isAnswered() && caller.m_reader.m_status == 200;
     }
 
+    [[nodiscard]] size_t openDescriptors() const
+    {
+        const std::filesystem::directory_iterator entries(fmt::format("/proc/{}/fd", m_gateway->m_pid));
+        return static_cast<size_t>(std::distance(begin(entries), end(entries)));
+    }
+
 private:
     [[nodiscard]] int64_t peakKilobytes() const
     {
@@ -267,12 +273,6 @@
         CPPUNIT_FAIL("no VmHWM in the status of the process");
         return 0;
     }
-
-    [[nodiscard]] size_t openDescriptors() const
-    {
-        const std::filesystem::directory_iterator entries(fmt::format("/proc/{}/fd", m_gateway->m_pid));
-        return static_cast<size_t>(std::distance(begin(entries), end(entries)));
-    }
 };
 
 /** A path of the callers' address or of the readiness address. */
@@ -364,6 +364,7 @@
     CPPUNIT_TEST(survivesReplicasThatSendWithoutEnd);
     CPPUNIT_TEST(survivesEventsWithoutEnd);
     CPPUNIT_TEST(survivesSilentConnections);
+    CPPUNIT_TEST(closesCallersWithoutProgress);
     CPPUNIT_TEST(cutsOffNoLateRequests);
     CPPUNIT_TEST_SUITE_END();
 
@@ -601,6 +602,33 @@
         CPPUNIT_ASSERT_MESSAGE(faults, faults.empty());
     }
 
+    // Guards against connections that stay open for ever: silent ones at both addresses, and those that never read their answer.
+    void closesCallersWithoutProgress()
+    {
+        HostileWorld world(SmallMemoryMegabytes, {{"idle_timeout_ms", 2000}}, answerBytes(3 * Mebibyte));
+        world.m_harness.runFor(milliseconds(3000)); // the connections that waited for readiness have been closed by then
+        const size_t idle = world.openDescriptors();
+        ClientScript script;
+        script.m_smallWindow = true;
+        for (const Target &target : {Target{"/read/1"}, Target{"/metrics", true}}) {
+            script.m_address = addressOf(world, target);
+            script.m_text = share("");
+            world.add(script);
+            script.m_text = share(pipelinedRequests(target.m_path, target.m_isReadiness ? 20000 : 1));
+            world.add(script);
+        }
+        world.m_harness.runUntil("connections", [&] {
+            world.m_crowd.step();
+            return world.openDescriptors() >= idle + 4;
+        });
+        // The connection to the replica may stay open.
+        world.m_harness.runUntil("end of all connections", [&] {
+            world.m_crowd.step();
+            return world.openDescriptors() <= idle + 1;
+        });
+        CPPUNIT_ASSERT(world.isOrdinaryRequestAnswered());
+    }
+
     // Guards against requests that come late in the grace period, are accepted and get no answer as the process exits.
     void cutsOffNoLateRequests()
     {
