--- a/src/gateway_upstreams.cpp
+++ b/src/gateway_upstreams.cpp
@@ -92,6 +92,7 @@
         closeUpstream(gateway, connection);
         return;
     }
+    connection->m_net->resumeReading(); // its last answer may have been throttled
     const Duration unstated = isScarce(gateway, upstream->m_record.m_service) ? upstream->m_idleLimit : DefaultIdleLimit;
     connection->m_idleLimit = idleLimitOf(connection->m_reader.m_headers, unstated);
     connection->m_idleSince = gatewayNow(gateway);
@@ -230,6 +231,15 @@
 void readAnswer(Gateway &gateway, UpstreamConnection *connection, std::string_view data)
 {
     HttpReader &reader = connection->m_reader;
+    if (connection->m_call != nullptr) {
+        const uint64_t number = connection->m_call->m_number;
+        connection->m_call->m_lastByteAt = gatewayNow(gateway);
+        makeRoom(gateway, HolderKind::Upstream, data.size());
+        if (!gateway.m_calls.contains(number)) {
+            return;
+        }
+        addHeld(gateway, HolderKind::Upstream, data.size());
+    }
     while (!data.empty()) {
         if (connection->m_call == nullptr) {
             closeUpstream(gateway, connection); // bytes without an open request
@@ -518,6 +528,18 @@
     closeUpstream(gateway, connection);
 }
 
+void dropCall(Gateway &gateway, uint64_t number)
+{
+    const auto call = gateway.m_calls.find(number);
+    if (call == gateway.m_calls.end()) {
+        return;
+    }
+    countReason(gateway.m_refusals, Reason::MemoryLimited);
+    UpstreamConnection *connection = call->second->m_connection;
+    connection->m_reader.reset();
+    finishCall(gateway, connection, call->second->m_sent ? CallEnd::Malformed : CallEnd::NotConnected);
+}
+
 HttpReader &answerReader(UpstreamCall &call)
 {
     return call.m_connection->m_reader;
