Divide the limit on requests to cold replicas into slots of single gateways

A cold replica tolerates cold_per_s x cold_overrun + cold_slack requests in a second from all gateways. Each slot belongs to one gateway by rendezvous hashing; a gateway uses its slots only after it has been a member with a recent view for 28 s.

An implausible cold_left_ms no longer makes a registration unusable: it is ignored by itself, as docs/hard-load.md requires.

--- a/src/serving.h
+++ b/src/serving.h
@@ -12,6 +12,7 @@
  *  [SECTION] Stage queue    batching of pieces for the replicas of a stage service
  *  [SECTION] Start          whether a request is refused on arrival
  *  [SECTION] Placement      choice of the replica for a request
+ *  [SECTION] Cold replicas  limits on the requests to replicas that have just started
  *  [SECTION] Retries        the retry budget and the step after a failed attempt
  *  [SECTION] Crashes        requests and prompt parts that crash replicas
  *
@@ -56,6 +57,9 @@
     double m_extraRetries = 20; ///< retries allowed per window in addition to the ratio, over all gateways
     Duration m_retryWindow = seconds(10);
     int64_t m_minLeaseMs = 1000; ///< shortest lease that the store grants, milliseconds
+    /** With m_coldSlack, the limit on requests to cold replicas, see coldLimits(). There is none when one of them is absent. */
+    std::optional<double> m_coldOverrun;
+    std::optional<double> m_coldSlack;
     LogLevel m_logLevel = LogLevel::Info;
 
     bool operator==(const GatewaySettings &) const = default;
@@ -138,6 +142,8 @@
     int m_maxConnections = 16; ///< limit for one replica, over all its clients
     std::optional<EngineLimits> m_engine;
     std::optional<PieceLimits> m_pieces;
+    Duration m_coldTime{}; ///< a replica stays cold for this time after a start during traffic; 0: never cold
+    double m_coldPerSecond = 0; ///< requests per second that a cold replica tolerates; 0: never cold
 
     bool operator==(const ServingService &) const = default;
 };
@@ -167,6 +173,7 @@
     std::unordered_map<std::string, size_t> m_keys; ///< API key to index into m_organisations
     bool m_needsKeys = false; ///< organisations are configured, so requests to routes that are not anonymous need an API key
     CallerLimits m_limits;
+    std::vector<std::string> m_ignoredNumbers; ///< names of numbers that are implausible and count as absent, with their service
     std::unordered_map<std::string, std::vector<size_t>> m_routesByHost; ///< host to indexes into m_routes, longest prefix first
 
     bool operator==(const ServingConfiguration &) const = default;
@@ -197,6 +204,7 @@
     bool m_draining = false;
     int64_t m_incarnationStart = 0; ///< start of the incarnation, Unix milliseconds
     Duration m_warmUpLeft{}; ///< time until the replica has warmed up
+    bool m_hasInvalidWarmUp = false; ///< the registration has an implausible number for m_warmUpLeft, which counts as 0
 
     bool operator==(const ReplicaRecord &) const = default;
 };
@@ -605,6 +613,116 @@
  */
 std::optional<size_t> homeReplica(const std::vector<ReplicaView> &replicas, const std::vector<PromptPart> &parts);
 
+//-----------------------------------------------------------------------------
+// [SECTION] Cold replicas
+//-----------------------------------------------------------------------------
+
+/**
+ * Limit on the requests that all gateways together send to one cold replica within a second. Designed for 91 gateways with 5 requests
+ * per second each, a third of 112 replicas cold at once, and for up to 295 gateways.
+ *
+ * The limit is divided into slots. Each slot of a replica belongs to one gateway, by rendezvous hashing over the members, and allows
+ * that gateway one request per ColdSpacing, so that no messages are needed. A gateway uses its slots only while it certainly is a
+ * member and its view of the members is recent, both without interruption for ColdSettleTime; see docs/design/cold-replicas.md for
+ * why two gateways then never use one slot at the same time.
+ */
+struct ColdLimits {
+    Duration m_coldTime{}; ///< 0: the replicas of the service are never cold
+    int m_slots = 0; ///< requests to one cold replica in any one second
+
+    bool operator==(const ColdLimits &) const = default;
+};
+
+constexpr int MaxColdSlots = 256; ///< of one replica; a higher limit is not used up
+constexpr Duration MaxColdTime = seconds(3600); ///< longer times are implausible
+constexpr double MaxColdPerSecond = 10'000; ///< higher rates are implausible
+constexpr Duration ColdDeliveryVariation = milliseconds(100); ///< by which the times from write to arrival of two requests may differ
+constexpr Duration ColdSpacing = seconds(1) + ColdDeliveryVariation; ///< between two writes in one slot
+/** Age of the view of the members up to which it is recent: above that of the slowest watch of the store, 18.75 s. */
+constexpr Duration ColdViewAge = seconds(20);
+constexpr Duration ColdLeaseTime = seconds(6); ///< a gateway counts on its lease for at most this time from the sending of a renewal
+constexpr Duration ColdLeaseMargin = milliseconds(200); ///< by which it stops before the end of its lease
+/** ColdViewAge and ColdSpacing for views that differ, ColdLeaseTime for leases lost by a store that was restored from a backup. */
+constexpr Duration ColdSettleTime = ColdViewAge + ColdLeaseTime + seconds(2);
+constexpr size_t MaxColdReplicas = 16384; ///< records of replicas that are not registered are dropped beyond this
+
+/** A part of the limit of one cold replica that belongs to this gateway. */
+struct ColdSlot {
+    int m_number = 0;
+    TimePoint m_usedAt; ///< last write of a request
+    bool m_isReserved = false; ///< for a call whose connection is being opened
+};
+
+struct ColdReplica {
+    std::string m_failureDomain;
+    int64_t m_incarnationStart = 0;
+    int64_t m_revision = 0; ///< of the last registration that was read
+    ColdLimits m_limits;
+    TimePoint m_coldUntil;
+    std::vector<ColdSlot> m_slots; ///< those of this gateway
+    uint64_t m_slotsVersion = 0; ///< ColdState::m_version for which m_slots was computed
+};
+
+/** What one gateway knows of cold replicas, and whether it may use its slots. */
+struct ColdState {
+    std::string m_self;
+    /** The members, and those that have left the view within ColdSettleTime, with the time at which they left it. */
+    std::map<std::string, std::optional<TimePoint>> m_members;
+    uint64_t m_version = 1; ///< increased with each change of the names in m_members
+    bool m_isListed = false; ///< the view shows the member item of this process
+    TimePoint m_leaseUntil; ///< the lease of this gateway is certainly valid until then
+    TimePoint m_viewAt; ///< the view of the members is that of the store at this time or later
+    std::optional<TimePoint> m_since; ///< since when lease and view have been valid without interruption
+    std::unordered_map<std::string, ColdReplica> m_replicas; ///< by id
+    uint64_t m_permits = 0; ///< requests that were written with a permit
+    uint64_t m_withheld = 0; ///< cold replicas left out at placements, and calls that were not written, for lack of a permit
+    uint64_t m_invalidNumbers = 0; ///< implausible numbers in configuration, registrations and answers
+};
+
+/** The limits of a service; none without both settings and both figures of the service. */
+ColdLimits coldLimits(const GatewaySettings &settings, const ServingService &service);
+/**
+ * Replaces the view of the members.
+ * @param nodes includes this gateway
+ * @param isListed the store has the member item of this process
+ */
+void observeColdMembers(ColdState &state, const std::set<std::string> &nodes, bool isListed, TimePoint now);
+/** The store has granted or renewed the lease to which the member item of this gateway is attached. */
+void observeColdLease(ColdState &state, TimePoint sentAt, Duration lifetime, TimePoint now);
+/** The lease was lost or given back. */
+void loseColdLease(ColdState &state);
+/** The view of the members is that of the store at @p viewAt or later; call it after observeColdMembers(). */
+void observeColdView(ColdState &state, TimePoint viewAt, TimePoint now);
+/** Whether this gateway may use its slots. */
+bool maySendToCold(const ColdState &state, TimePoint now);
+/**
+ * A registration was read: the replica is cold for the rest of the time that it states, and for the whole time as a new incarnation.
+ * @param isFirstListing it was read in the first listing of the registrations, in which no replica counts as new
+ * @param isRegistered it was registered until now
+ * @return whether it became cold
+ */
+bool observeColdRegistration(ColdState &state,
+                             const ReplicaRecord &record,
+                             int64_t revision,
+                             const ColdLimits &limits,
+                             bool isFirstListing,
+                             bool isRegistered,
+                             TimePoint now);
+/** The replica stated that it stays cold until @p until, or is known to. An earlier, longer time stays. @return whether it became cold. */
+bool markCold(ColdState &state, const std::string &id, const ColdLimits &limits, TimePoint until, TimePoint now);
+bool isCold(const ColdState &state, const std::string &id, TimePoint now);
+size_t coldReplicaCount(const ColdState &state, TimePoint now);
+/** Whether a request to this cold replica could be written now. */
+bool hasColdPermit(ColdState &state, const std::string &id, TimePoint now);
+/** Reserves a slot for a call whose connection is being opened. @return its number; nothing when none is free. */
+std::optional<int> reserveColdPermit(ColdState &state, const std::string &id, TimePoint now);
+/** Uses a reserved slot for a request that is written now. @return false when this gateway may not use it any more. */
+bool useColdPermit(ColdState &state, const std::string &id, int slot, TimePoint now);
+/** Gives back a reserved slot for which nothing was written. */
+void returnColdPermit(ColdState &state, const std::string &id, int slot);
+/** When to ask for a permit again: when a slot may be free or the replica is warm, whichever is earlier. */
+TimePoint nextColdPermit(ColdState &state, const std::string &id, TimePoint now);
+
 //-----------------------------------------------------------------------------
 // [SECTION] Retries
 //-----------------------------------------------------------------------------
--- a/src/serving_configuration.cpp
+++ b/src/serving_configuration.cpp
@@ -8,6 +8,18 @@
 namespace {
 
 constexpr int64_t MaxSettingBytes = 256;
+constexpr double MaxColdOverrun = 1000;
+constexpr double MaxColdSlack = 1e6; ///< requests per second
+
+void readOptionalNumber(ObjectReader &reader, const char *name, std::optional<double> &value, double maximum)
+{
+    constexpr double Absent = -1;
+    double read = Absent;
+    readNumber(reader, name, read, 0, maximum);
+    if (read != Absent) {
+        value = read;
+    }
+}
 
 std::string_view requestPath(std::string_view target)
 {
@@ -35,6 +47,8 @@
     readNumber(reader, "repeat_extra", settings.m_extraRetries, 0, 1e6);
     readMilliseconds(reader, "repeat_window_ms", settings.m_retryWindow, milliseconds(100), milliseconds(600'000));
     readInteger(reader, "min_lease_ms", settings.m_minLeaseMs, 1, 600'000);
+    readOptionalNumber(reader, "cold_overrun", settings.m_coldOverrun, MaxColdOverrun);
+    readOptionalNumber(reader, "cold_slack", settings.m_coldSlack, MaxColdSlack);
     std::string level = "info";
     readString(reader, "log_level", level, false, MaxSettingBytes);
     if (const std::optional<LogLevel> parsed = parseLogLevel(level)) {
