Send requests and stage calls to cold replicas only with a permit

A permit is reserved when a call starts and used when it is written, on new and on kept connections. Replicas are cold after a start during traffic, after an evacuation, and as their registrations and answers state.

--- a/src/core.cpp
+++ b/src/core.cpp
@@ -256,6 +256,7 @@
     "upstream_error",
     "upstream_leaving",
     "upstream_evacuated",
+    "upstream_cold",
     "stream_truncated",
     "invalid_answer",
     "retry_budget_exhausted",
--- a/src/core.h
+++ b/src/core.h
@@ -184,6 +184,7 @@
     UpstreamError,
     UpstreamLeaving,
     UpstreamEvacuated,
+    UpstreamCold,
     StreamTruncated,
     InvalidAnswer,
     RetryBudgetExhausted,
--- a/src/gateway_attempts.cpp
+++ b/src/gateway_attempts.cpp
@@ -29,6 +29,10 @@
         if (now < pausedUntil(gateway.m_registry, id)) {
             continue;
         }
+        if (isWithheld(gateway, id)) {
+            gateway.m_cold.m_withheld += 1;
+            continue;
+        }
         const Upstream &upstream = gateway.m_upstreams.at(id);
         ReplicaView view;
         view.m_id = id;
@@ -356,7 +360,9 @@
 void handleAttemptEnd(Gateway &gateway, Exchange &exchange, AttemptEnd end, Reason reason)
 {
     const bool leaving = reason == Reason::UpstreamLeaving;
-    recordAttempt(gateway, exchange.m_attempt->m_replica, true, end != AttemptEnd::Rejected || leaving, Duration(0));
+    if (reason != Reason::UpstreamCold) { // the replica has not failed
+        recordAttempt(gateway, exchange.m_attempt->m_replica, true, end != AttemptEnd::Rejected || leaving, Duration(0));
+    }
     const bool mayHaveRun = end == AttemptEnd::Lost || end == AttemptEnd::Broken;
     exchange.m_attempts.m_ran += mayHaveRun ? 1 : 0;
     const bool arrived = exchange.m_attempts.m_sent > 0 && end != AttemptEnd::NotSent;
@@ -430,9 +436,10 @@
         handleAnswer(gateway, *exchange, reader);
         return;
     }
-    const Reason reason = end == CallEnd::NotConnected ? Reason::ConnectFailed
-        : end == CallEnd::Lost                         ? Reason::ConnectionLost
-                                                       : Reason::InvalidAnswer;
+    const Reason reason = call.m_isWithheld ? Reason::UpstreamCold
+        : end == CallEnd::NotConnected      ? Reason::ConnectFailed
+        : end == CallEnd::Lost              ? Reason::ConnectionLost
+                                            : Reason::InvalidAnswer;
     handleAttemptEnd(gateway, *exchange, attemptEndOf(end), reason);
 }
 
@@ -506,7 +513,9 @@
         if (refuseIfPaused(gateway, exchange, gatewayNow(gateway))) {
             return;
         }
-        const Reason reason = isServiceEvacuated(gateway.m_registry, exchange.m_service) ? Reason::UpstreamEvacuated : Reason::NoUpstream;
+        const Reason reason = isServiceEvacuated(gateway.m_registry, exchange.m_service) ? Reason::UpstreamEvacuated
+            : isServiceWithheld(gateway, exchange.m_service)                             ? Reason::UpstreamCold
+                                                                                         : Reason::NoUpstream;
         if (exchange.m_attempts.m_ran == 0) {
             refuseExchange(gateway, exchange, reason);
         } else {
--- a/src/gateway_evacuation.cpp
+++ b/src/gateway_evacuation.cpp
@@ -18,6 +18,9 @@
     const bool changed = isEvacuated ? domains.insert(failureDomain).second : domains.erase(failureDomain) > 0;
     if (changed) {
         logEvacuation(failureDomain, isEvacuated, revision);
+        if (!isEvacuated) {
+            noteEvacuationEnd(gateway, failureDomain);
+        }
     }
 }
 
--- a/src/gateway_internal.h
+++ b/src/gateway_internal.h
@@ -10,6 +10,7 @@
  *  [SECTION] Stages     stage tasks of this gateway's requests, and the queues that this gateway owns
  *  [SECTION] Peers      messages between gateways
  *  [SECTION] Crashes    requests and prompt parts that crash replicas
+ *  [SECTION] Cold       permits for requests to cold replicas
  *  [SECTION] Store      client of the key-value store
  *  [SECTION] Gateway    state of one gateway process
  */
@@ -56,6 +57,8 @@
     std::string m_text; ///< serialized request; moved out once it is written
     std::string m_attemptId; ///< attempt id that the answer must echo; empty: not checked
     bool m_isWork = true; ///< only for replicas that accept work; releases of results go to all
+    std::optional<int> m_permit; ///< slot that is reserved at a cold replica until the call is written
+    bool m_isWithheld = false; ///< not written, as the replica turned cold and there is no permit
     std::function<void(UpstreamCall &)> m_onProgress; ///< head complete or more of the body received; may cancel the call
     std::function<void(UpstreamCall &, CallEnd)> m_onEnd;
     UpstreamConnection *m_connection = nullptr;
@@ -389,6 +392,33 @@
 /** Tells some members what is refused, so that gateways that were restarted or cut off learn of them. */
 void gossipRefusals(Gateway &gateway);
 
+//-----------------------------------------------------------------------------
+// [SECTION] Cold
+//-----------------------------------------------------------------------------
+
+/** Whether a replica is cold and this gateway can't send it a request now. */
+bool isWithheld(Gateway &gateway, const std::string &replica);
+/** Whether a replica of a service that accepts work is cold and without a permit. */
+bool isServiceWithheld(Gateway &gateway, const std::string &service);
+/** Reserves a permit for a call to a cold replica. */
+void reservePermit(Gateway &gateway, UpstreamCall &call);
+/** To be called right before a call is written. @return false when the replica is cold and there is no permit. */
+bool takePermit(Gateway &gateway, UpstreamCall &call);
+/** Gives back the permit of a call that ends without having been written. */
+void returnPermit(Gateway &gateway, UpstreamCall &call);
+/** Plans no stage calls to cold replicas before there is a permit for them. */
+void pauseColdWorkers(Gateway &gateway, StageQueue &queue);
+/** Reads from a registration whether the replica is cold; to be called before it is added to the registry. */
+void noteRegistration(Gateway &gateway, const ReplicaRecord &record, int64_t revision);
+/** Reads from an answer how long the replica stays cold. */
+void noteColdAnswer(Gateway &gateway, const std::string &replica, const HttpHeaders &headers);
+/** The evacuation of a failure domain has ended: its replicas are cold. */
+void noteEvacuationEnd(Gateway &gateway, const std::string &failureDomain);
+/** Logs and counts the numbers of a configuration that were ignored. */
+void noteConfiguration(Gateway &gateway);
+/** Tells the cold replicas part that the view of the members has changed. */
+void noteMembers(Gateway &gateway);
+
 //-----------------------------------------------------------------------------
 // [SECTION] Store
 //-----------------------------------------------------------------------------
@@ -414,6 +444,8 @@
     bool m_isProven = false; ///< the last call was answered without events, so that the next one may wait for long
     int64_t m_revision = 0; ///< the watch continues after this revision
     TimePoint m_answeredAt; ///< last answer of the store to the watch or its listings
+    Duration m_wait{}; ///< how long the store was asked to wait in the last call
+    TimePoint m_listStartedAt; ///< start of the first call of the listings
     TimePoint m_nextEventsAt; ///< no call before, so that m_interval is kept
     size_t m_listing = 0; ///< index in StoreRanges of the listing that is read
     std::vector<Platform::StoreItem> m_page; ///< items of an incomplete listing
@@ -433,6 +465,7 @@
     int m_failures = 0; ///< consecutive
     bool m_hasLostAnswer = false; ///< a call got no answer since the store was last available
     int64_t m_lease = 0; ///< lease id; 0: none
+    Duration m_leaseLifetime{}; ///< as granted by the store
     NetTimer m_leaseTimer;
     NetTimer m_expiryTimer;
     std::map<std::string, Member> m_members; ///< by key
@@ -489,6 +522,8 @@
     std::map<uint64_t, std::unique_ptr<UpstreamCall>> m_calls;
     uint64_t m_nextNumber = 1;
 
+    ColdState m_cold;
+
     CrashEvidence m_crashEvidence;
     std::map<std::string, CrashSuspects> m_suspects; ///< by replica and incarnation, while it is probed
     TimePoint m_nextRefusalGossip;
--- a/src/gateway_run.cpp
+++ b/src/gateway_run.cpp
@@ -53,6 +53,24 @@
     prometheus::BuildGauge().Name(name).Help(help).Register(registry).Add({}).Set(value);
 }
 
+void addColdMetrics(prometheus::Registry &registry, const Gateway &gateway)
+{
+    const TimePoint now = gatewayNow(gateway);
+    const ColdState &cold = gateway.m_cold;
+    addGauge(registry, "medlarramp_cold_replicas", "Cold replicas", static_cast<double>(coldReplicaCount(cold, now)));
+    addGauge(
+        registry, "medlarramp_cold_ready", "1 while this gateway may send requests to cold replicas", maySendToCold(cold, now) ? 1 : 0);
+    addGauge(registry, "medlarramp_cold_permits", "Requests sent to cold replicas with a permit", static_cast<double>(cold.m_permits));
+    addGauge(registry,
+             "medlarramp_cold_withheld",
+             "Cold replicas left out at placements, and calls that were not written, for lack of a permit",
+             static_cast<double>(cold.m_withheld));
+    addGauge(registry,
+             "medlarramp_cold_invalid_numbers",
+             "Implausible numbers on cold replicas in configuration, registrations and answers",
+             static_cast<double>(cold.m_invalidNumbers));
+}
+
 std::string formatMetrics(const Gateway &gateway)
 {
     prometheus::Registry registry;
@@ -86,6 +104,7 @@
     for (const std::string &failureDomain : gateway.m_registry.m_evacuatedDomains) {
         evacuated.Add({{"failure_domain", failureDomain}}).Set(1);
     }
+    addColdMetrics(registry, gateway);
     auto &waiting = prometheus::BuildGauge().Name("medlarramp_queued_tasks").Help("Stage tasks in owned queues").Register(registry);
     for (const auto &[service, owned] : gateway.m_queues) {
         waiting.Add({{"service", service}}).Set(static_cast<double>(owned->m_queue.m_tasks.size()));
@@ -294,6 +313,7 @@
     gateway.m_membership.m_self = {
         settings.m_node, settings.m_peerAddress, settings.m_failureDomain, settings.m_processorShare, nextRandom(gateway.m_random)};
     replaceMembers(gateway.m_membership, {}, gatewayNow(gateway));
+    gateway.m_cold.m_self = settings.m_node;
     if (absl::Status status = listenAll(gateway); !status.ok()) {
         return status;
     }
--- a/src/gateway_stages.cpp
+++ b/src/gateway_stages.cpp
@@ -394,6 +394,7 @@
 {
     const TimePoint now = gatewayNow(gateway);
     reportOutcomes(gateway, owned.m_queue.m_service, expireTasks(owned.m_queue, now));
+    pauseColdWorkers(gateway, owned.m_queue);
     for (StageCall &call : planCalls(owned.m_queue, now)) {
         sendStageCall(gateway, owned, std::move(call));
     }
@@ -413,7 +414,7 @@
     for (const auto &[replica, handles] : releases) {
         const auto upstream = gateway.m_upstreams.find(replica);
         const bool isPaused = gatewayNow(gateway) < pausedUntil(gateway.m_registry, replica);
-        const bool isSilenced = isPaused || isEvacuated(gateway.m_registry, replica);
+        const bool isSilenced = isPaused || isEvacuated(gateway.m_registry, replica) || isWithheld(gateway, replica);
         if (upstream == gateway.m_upstreams.end() || !upstream->second.m_registered || isSilenced) {
             continue; // the results expire
         }
--- a/src/gateway_store.cpp
+++ b/src/gateway_store.cpp
@@ -279,6 +279,7 @@
         return;
     }
     gateway.m_configuration = std::make_shared<const ServingConfiguration>(std::move(*decoded));
+    noteConfiguration(gateway);
     writeLog(LogLevel::Info, "config", "Configuration applied.", {{"version", fmt::format("{}", gateway.m_configuration->m_version)}});
 }
 
@@ -318,6 +319,7 @@
         members.push_back(member);
     }
     replaceMembers(gateway.m_membership, std::move(members), gatewayNow(gateway));
+    noteMembers(gateway);
 }
 
 /** An entry that can't be read names no replica to use, also when it replaces one that did. */
@@ -332,6 +334,7 @@
                  {{"key", item.m_key}, {"error", std::string(record.status().message())}});
         return std::nullopt;
     }
+    noteRegistration(gateway, *record, item.m_revision);
     return std::move(*record);
 }
 
@@ -492,6 +495,7 @@
 void startListing(Gateway &gateway)
 {
     StoreWatch &watch = gateway.m_store.m_watch;
+    watch.m_listStartedAt = gatewayNow(gateway);
     watch.m_listing = 0;
     watch.m_page.clear();
     watch.m_listRevision = 0;
@@ -516,6 +520,7 @@
     watch.m_isProven = false;
     // Pages and listings may differ in revision, so the watch starts at that of the first page.
     watch.m_revision = watch.m_listRevision;
+    observeColdView(gateway.m_cold, watch.m_listStartedAt, gatewayNow(gateway));
     confirm(gateway);
     callWatch(gateway);
 }
@@ -564,6 +569,15 @@
     return std::max(MinWatchPause, watch.m_nextEventsAt - now);
 }
 
+/** The earliest time at which the store may have read what the answer to a watch call tells. */
+TimePoint viewTime(const Gateway &gateway, const Platform::StoreItems &events)
+{
+    const StoreWatch &watch = gateway.m_store.m_watch;
+    const TimePoint startedAt = watch.m_connection->m_startedAt;
+    const bool hasWaited = gatewayNow(gateway) >= startedAt + watch.m_wait;
+    return events.m_items.empty() && hasWaited ? startedAt + watch.m_wait : startedAt;
+}
+
 void handleWatch(Gateway &gateway, int status, const std::string &body)
 {
     StoreWatch &watch = gateway.m_store.m_watch;
@@ -577,6 +591,7 @@
         const bool wasCurrent = watch.m_isCurrent;
         watch.m_isProven = wasCurrent && events->m_items.empty();
         applyEvents(gateway, *events, age);
+        observeColdView(gateway.m_cold, viewTime(gateway, *events), gatewayNow(gateway));
         confirm(gateway);
         watch.m_timer.start(gateway.m_loop, pauseBeforeCall(gateway, wasCurrent), [&gateway] { callWatch(gateway); });
         return;
@@ -625,6 +640,7 @@
     const bool isLong = watch.m_isCurrent && watch.m_isProven && !isSentinel(gateway);
     const Duration wait = !watch.m_isCurrent ? ConfirmingWatchWait : isLong ? LongWatchWait : ShortWatchWait;
     const Duration margin = isLong ? LongWatchMargin : ShortWatchMargin;
+    watch.m_wait = wait;
     writeLog(watch.m_isInterrupted ? LogLevel::Info : LogLevel::Debug,
              "store",
              "Watch started.",
@@ -656,11 +672,13 @@
 void handleLeaseFailure(Gateway &gateway, int status)
 {
     gateway.m_store.m_lease = 0;
+    loseColdLease(gateway.m_cold);
     recordStoreFailure(gateway, *gateway.m_store.m_leaseConnection, "lease", status);
     scheduleLease(gateway, retryDelay(gateway));
 }
 
-void registerMember(Gateway &gateway)
+/** @param leaseStartedAt when the lease was requested */
+void registerMember(Gateway &gateway, TimePoint leaseStartedAt)
 {
     StoreClient &store = gateway.m_store;
     const std::string key = std::string(Platform::MemberPrefix) + gateway.m_settings.m_node;
@@ -671,11 +689,12 @@
               std::string(Platform::TransactionTarget),
               body,
               CallTimeout,
-              [&gateway](int status, const std::string &) {
+              [&gateway, leaseStartedAt](int status, const std::string &) {
                   if (status != HTTP_STATUS_OK) {
                       handleLeaseFailure(gateway, status);
                       return;
                   }
+                  observeColdLease(gateway.m_cold, leaseStartedAt, gateway.m_store.m_leaseLifetime, gatewayNow(gateway));
                   scheduleLease(gateway, LeaseRenewal);
               });
 }
@@ -683,14 +702,15 @@
 void requestLease(Gateway &gateway)
 {
     StoreClient &store = gateway.m_store;
-    const std::string body = Platform::formatLeaseBody(std::max(LeaseTime, Duration(milliseconds(gateway.m_settings.m_minLeaseMs))));
+    const Duration lifetime = std::max(LeaseTime, Duration(milliseconds(gateway.m_settings.m_minLeaseMs)));
+    const std::string body = Platform::formatLeaseBody(lifetime);
     callStore(gateway,
               *store.m_leaseConnection,
               "POST",
               std::string(Platform::LeaseTarget),
               body,
               CallTimeout,
-              [&gateway](int status, const std::string &answer) {
+              [&gateway, lifetime](int status, const std::string &answer) {
                   const absl::StatusOr<int64_t> lease =
                       status == HTTP_STATUS_OK ? Platform::decodeLease(answer) : absl::UnavailableError("no answer");
                   if (!lease.ok()) {
@@ -698,7 +718,8 @@
                       return;
                   }
                   gateway.m_store.m_lease = *lease;
-                  registerMember(gateway);
+                  gateway.m_store.m_leaseLifetime = Platform::decodeLeaseLifetime(answer, lifetime);
+                  registerMember(gateway, gateway.m_store.m_leaseConnection->m_startedAt);
               });
 }
 
@@ -721,11 +742,16 @@
               [&gateway](int status, const std::string &) {
                   if (status == HTTP_STATUS_OK) {
                       recordStoreAnswer(gateway);
+                      observeColdLease(gateway.m_cold,
+                                       gateway.m_store.m_leaseConnection->m_startedAt,
+                                       gateway.m_store.m_leaseLifetime,
+                                       gatewayNow(gateway));
                       scheduleLease(gateway, LeaseRenewal);
                       return;
                   }
                   if (status == HTTP_STATUS_NOT_FOUND) {
                       gateway.m_store.m_lease = 0;
+                      loseColdLease(gateway.m_cold);
                       requestLease(gateway);
                       return;
                   }
@@ -811,6 +837,7 @@
 {
     StoreClient &store = gateway.m_store;
     store.m_leaseTimer.stop();
+    loseColdLease(gateway.m_cold);
     if (store.m_lease == 0 || store.m_leaseConnection->m_busy) {
         return; // the lease expires
     }
--- a/src/gateway_upstreams.cpp
+++ b/src/gateway_upstreams.cpp
@@ -118,6 +118,7 @@
     auto owned = std::move(gateway.m_calls.at(call->m_number));
     gateway.m_calls.erase(call->m_number);
     connection->m_lastAttemptId = owned->m_attemptId;
+    returnPermit(gateway, *owned);
     if (connection->m_messageKind != MessageKind::Answer) {
         connection->m_reader.reset(); // the callback must not read a message of another call
     }
@@ -155,6 +156,7 @@
 void observeNotices(Gateway &gateway, const UpstreamConnection &connection)
 {
     const HttpReader &reader = connection.m_reader;
+    noteColdAnswer(gateway, connection.m_replica, reader.m_headers);
     if (reader.m_status == HTTP_STATUS_SERVICE_UNAVAILABLE && connection.m_messageKind == MessageKind::Answer) {
         observeRefusal(gateway, connection);
     }
@@ -271,7 +273,7 @@
     connection->m_net = NetConnection::connect(gateway.m_loop, upstream.m_address, options);
     connection->m_net->m_onConnect = [&gateway, connection] {
         if (connection->m_call != nullptr) {
-            if (!isWriteAllowed(gateway, *connection->m_call)) {
+            if (!isWriteAllowed(gateway, *connection->m_call) || !takePermit(gateway, *connection->m_call)) {
                 finishCall(gateway, connection, CallEnd::NotConnected);
                 return;
             }
@@ -325,7 +327,10 @@
     call->m_lastByteAt = call->m_startedAt;
     gateway.m_calls.emplace(call->m_number, std::move(owned));
     Upstream &upstream = gateway.m_upstreams.at(replica);
-    UpstreamConnection *connection = takeIdle(gateway, upstream, call->m_attemptId, use);
+    reservePermit(gateway, *call);
+    // Without a permit, the call is refused when its new connection is open, as this function must not end it.
+    const bool isSendable = !isWithheld(gateway, replica) || call->m_permit;
+    UpstreamConnection *connection = isSendable ? takeIdle(gateway, upstream, call->m_attemptId, use) : nullptr;
     const bool reused = connection != nullptr;
     if (!reused) {
         connection = openConnection(gateway, upstream);
@@ -333,6 +338,7 @@
     connection->m_call = call;
     call->m_connection = connection;
     if (reused) {
+        takePermit(gateway, *call);
         call->m_sent = true;
         logCallWritten(gateway, *call);
         connection->m_net->write(std::exchange(call->m_text, std::string()));
@@ -347,6 +353,7 @@
         return;
     }
     UpstreamConnection *connection = call->second->m_connection;
+    returnPermit(gateway, *call->second);
     gateway.m_calls.erase(call);
     connection->m_call = nullptr;
     closeUpstream(gateway, connection);
