--- a/tests/gateway_world.h
+++ b/tests/gateway_world.h
@@ -368,16 +368,18 @@
         process.m_front = freeAddress();
         process.m_ready = freeAddress();
         process.m_settings = fmt::format("/tmp/medlarramp-test-{}-{}.json", getpid(), node);
-        std::ofstream(process.m_settings) << nlohmann::json{{"node", node},
-                                                            {"failure_domain", "z1"},
-                                                            {"front", process.m_front},
-                                                            {"readiness", process.m_ready},
-                                                            {"peers", freeAddress()},
-                                                            {"store", m_store.m_server.address()},
-                                                            {"drain_ms", drainMs},
-                                                            {"leaving_ms", 1500},
-                                                            {"repeat_ratio", 0.2},
-                                                            {"repeat_extra", 50}};
+        nlohmann::json settings{{"node", node},
+                                {"failure_domain", "z1"},
+                                {"front", process.m_front},
+                                {"readiness", process.m_ready},
+                                {"peers", freeAddress()},
+                                {"store", m_store.m_server.address()},
+                                {"drain_ms", drainMs},
+                                {"leaving_ms", 1500},
+                                {"repeat_ratio", 0.2},
+                                {"repeat_extra", 50}};
+        settings.update(m_extraSettings);
+        std::ofstream(process.m_settings) << settings;
         const std::string program = programPath();
         std::vector<std::string> words = {program, "gateway", "--settings", process.m_settings};
         std::vector<char *> arguments;
@@ -448,6 +450,7 @@
     NetLoop m_loop;
     Clock m_clock;
     FakeStore m_store;
+    nlohmann::json m_extraSettings = nlohmann::json::object(); ///< added to the settings of each gateway that is started
 
 private:
     static std::string programPath()
