--- a/src/core.h
+++ b/src/core.h
@@ -185,6 +185,7 @@
     UpstreamError,
     UpstreamLeaving,
     UpstreamEvacuated,
+    UpstreamCold,
     StreamTruncated,
     InvalidAnswer,
     RetryBudgetExhausted,
--- a/src/gateway_era.cpp
+++ b/src/gateway_era.cpp
@@ -259,7 +259,7 @@
     for (const EvacuationState &evacuation : state.m_evacuations) {
         const StoreVersion version = peerWrite(gateway, evacuation.m_era, evacuation.m_revision);
         if (mergeEvacuation(gateway.m_registry, evacuation.m_failureDomain, evacuation.m_isInForce, version)) {
-            logEvacuation(evacuation.m_failureDomain, evacuation.m_isInForce, version);
+            recordEvacuation(gateway, evacuation.m_failureDomain, evacuation.m_isInForce, version);
         }
     }
     for (const HoldState &hold : state.m_holds) {
--- a/src/gateway_evacuation.cpp
+++ b/src/gateway_evacuation.cpp
@@ -18,12 +18,15 @@
 
 } // namespace
 
-void logEvacuation(const std::string &failureDomain, bool begins, const StoreVersion &version)
+void recordEvacuation(Gateway &gateway, const std::string &failureDomain, bool begins, const StoreVersion &version)
 {
     writeLog(LogLevel::Info,
              "registry",
              begins ? "Evacuation of a failure domain began." : "Evacuation of a failure domain ended.",
              {{"failure_domain", failureDomain}, {"revision", std::to_string(version.revision())}, {"era", std::to_string(version.era())}});
+    if (!begins) {
+        noteEvacuationEnd(gateway, failureDomain);
+    }
 }
 
 void reportUnknownEvacuation(Gateway &gateway, const std::string &failureDomain)
@@ -47,7 +50,7 @@
         return;
     }
     if (observeEvacuation(gateway.m_registry, gateway.m_store.m_era, *failureDomain, !item.m_removed, item.m_version)) {
-        logEvacuation(*failureDomain, !item.m_removed, item.m_version);
+        recordEvacuation(gateway, *failureDomain, !item.m_removed, item.m_version);
     }
     if (!item.m_removed) {
         reportUnknownEvacuation(gateway, *failureDomain);
@@ -64,13 +67,13 @@
         if (const std::optional<std::string> failureDomain = evacuatedDomain(gateway, item.m_key)) {
             listed.insert(*failureDomain);
             if (observeEvacuation(gateway.m_registry, gateway.m_store.m_era, *failureDomain, true, item.m_version)) {
-                logEvacuation(*failureDomain, true, item.m_version);
+                recordEvacuation(gateway, *failureDomain, true, item.m_version);
             }
         }
     }
     const StoreVersion version = gateway.m_store.m_watch.m_listVersion.value_or(StoreVersion());
     for (const std::string &failureDomain : endMissingEvacuations(gateway.m_registry, gateway.m_store.m_era, listed, version)) {
-        logEvacuation(failureDomain, false, version);
+        recordEvacuation(gateway, failureDomain, false, version);
     }
 }
 
--- a/src/gateway_internal.h
+++ b/src/gateway_internal.h
@@ -10,6 +10,7 @@
  *  [SECTION] Stages     stage tasks of this gateway's requests, and the queues that this gateway owns
  *  [SECTION] Peers      messages between gateways
  *  [SECTION] Crashes    requests and prompt parts that crash replicas
+ *  [SECTION] Cold       permits for requests to cold replicas
  *  [SECTION] Store      client of the key-value store
  *  [SECTION] Store era  what gateways tell each other after the store was restored
  *  [SECTION] Memory     bytes held and connections, kept within their bounds
@@ -69,6 +70,8 @@
     /** Handles in the answer to a stage call, by which a copy of an earlier answer is recognised; not set: not checked. */
     std::function<std::vector<std::string>(const HttpReader &)> m_handles;
     bool m_isWork = true; ///< only for replicas that accept work; releases of results go to all
+    std::optional<int> m_permit; ///< slot that is reserved at a cold replica until the call is written
+    bool m_isWithheld = false; ///< not written, as the replica turned cold and there is no permit
     std::function<void(UpstreamCall &)> m_onProgress; ///< head complete or more of the body received; may cancel the call
     std::function<void(UpstreamCall &, CallEnd)> m_onEnd;
     UpstreamConnection *m_connection = nullptr;
@@ -418,6 +421,8 @@
     int64_t m_fromRevision = 0; ///< relay: revision that the watch call continued after
     bool m_isIncomplete = false; ///< relay: the changes were too large to be passed on
     std::vector<RelayedItem> m_items; ///< relay: the changes
+    /** Subscribe: time at which it is sent, on the clock of the sender; relay: the latest such time that the answer is not older than. */
+    int64_t m_subscribedUs = 0;
 
     template<typename Archive>
     void serialize(Archive &archive)
@@ -447,7 +452,8 @@
                 m_state,
                 m_fromRevision,
                 m_isIncomplete,
-                m_items);
+                m_items,
+                m_subscribedUs);
     }
 };
 
@@ -485,6 +491,33 @@
 /** Tells some members what is refused, so that gateways that were restarted or cut off learn of them. */
 void gossipRefusals(Gateway &gateway);
 
+//-----------------------------------------------------------------------------
+// [SECTION] Cold
+//-----------------------------------------------------------------------------
+
+/** Whether a replica is cold and this gateway can't send it a request now. */
+bool isWithheld(Gateway &gateway, const std::string &replica);
+/** Whether a replica of a service that accepts work is cold and without a permit. */
+bool isServiceWithheld(Gateway &gateway, const std::string &service);
+/** Reserves a permit for a call to a cold replica. */
+void reservePermit(Gateway &gateway, UpstreamCall &call);
+/** To be called right before a call is written. @return false when the replica is cold and there is no permit. */
+bool takePermit(Gateway &gateway, UpstreamCall &call);
+/** Gives back the permit of a call that ends without having been written. */
+void returnPermit(Gateway &gateway, UpstreamCall &call);
+/** Plans no stage calls to cold replicas before there is a permit for them. */
+void pauseColdWorkers(Gateway &gateway, StageQueue &queue);
+/** Reads from a registration whether the replica is cold; to be called before it is added to the registry. */
+void noteRegistration(Gateway &gateway, const ReplicaRecord &record, int64_t revision);
+/** Reads from an answer how long the replica stays cold. */
+void noteColdAnswer(Gateway &gateway, const std::string &replica, const HttpHeaders &headers);
+/** The evacuation of a failure domain has ended: its replicas are cold. */
+void noteEvacuationEnd(Gateway &gateway, const std::string &failureDomain);
+/** Logs and counts the numbers of a configuration that were ignored. */
+void noteConfiguration(Gateway &gateway);
+/** Tells the cold replicas part that the view of the members has changed. */
+void noteMembers(Gateway &gateway);
+
 //-----------------------------------------------------------------------------
 // [SECTION] Store
 //-----------------------------------------------------------------------------
@@ -510,6 +543,8 @@
     bool m_isProven = false; ///< the last call was answered without events, so that the next one may wait for long
     StoreVersion m_version; ///< the watch continues after this version
     TimePoint m_answeredAt; ///< last answer of the store to the watch or its listings
+    Duration m_wait{}; ///< how long the store was asked to wait in the last call
+    TimePoint m_listStartedAt; ///< start of the first call of the listings
     TimePoint m_nextEventsAt; ///< no call before, so that m_interval is kept
     size_t m_listing = 0; ///< index in StoreRanges of the listing that is read
     std::vector<Platform::StoreItem> m_page; ///< items of an incomplete listing
@@ -529,6 +564,7 @@
     int m_failures = 0; ///< consecutive
     bool m_hasLostAnswer = false; ///< a call got no answer since the store was last available
     int64_t m_lease = 0; ///< lease id; 0: none
+    Duration m_leaseLifetime{}; ///< as granted by the store
     NetTimer m_leaseTimer;
     NetTimer m_expiryTimer;
     NetTimer m_memberTimer; ///< until the next member that a restored store has lost is removed
@@ -596,8 +632,8 @@
     NetTimer m_lateTimer; ///< until a change that a peer knows must have arrived from the store
 };
 
-/** Logs an evacuation that has begun or ended. */
-void logEvacuation(const std::string &failureDomain, bool begins, const StoreVersion &version);
+/** Logs an evacuation that has begun or ended; the replicas of a failure domain whose evacuation has ended are cold. */
+void recordEvacuation(Gateway &gateway, const std::string &failureDomain, bool begins, const StoreVersion &version);
 /** Asks some members for what they know from before the restoration. @param isStart the gateway is not ready before the answers */
 void askPeersForState(Gateway &gateway, bool isStart);
 /** Adds to a message of kind Revision what tells a peer that it lacks something. */
@@ -677,6 +713,8 @@
     uint64_t m_nextNumber = 1;
     MemoryAccount m_memory;
 
+    ColdState m_cold;
+
     CrashEvidence m_crashEvidence;
     std::map<std::string, CrashSuspects> m_suspects; ///< by replica and incarnation, while it is probed
     TimePoint m_nextRefusalGossip;
--- a/src/gateway_peers.cpp
+++ b/src/gateway_peers.cpp
@@ -186,6 +186,7 @@
         if (!link.m_node.empty() && !addSubscriber(gateway.m_relay, link.m_node, gatewayNow(gateway))) {
             writeLog(LogLevel::Warning, "peers", "Too many subscribers to the watch.", {{"node", link.m_node}});
         }
+        noteSubscriberTime(gateway.m_relay, link.m_node, message.m_subscribedUs);
         return;
     case PeerKind::Relay:
         handleRelay(gateway, message);
--- a/src/gateway_relay.cpp
+++ b/src/gateway_relay.cpp
@@ -75,8 +75,9 @@
     if (subscribers.empty()) {
         return;
     }
-    const PeerMessage message = makeRelay(from, events);
+    PeerMessage message = makeRelay(from, events);
     for (const std::string &node : subscribers) {
+        message.m_subscribedUs = answeredTime(gateway.m_relay, node);
         sendToPeer(gateway, node, message);
     }
 }
@@ -102,6 +103,7 @@
     watch.m_answeredAt = gatewayNow(gateway);
     gateway.m_relay.m_currentAt = watch.m_answeredAt;
     applyEvents(gateway, events, age);
+    observeColdView(gateway.m_cold, TimePoint(Duration(message.m_subscribedUs)), gatewayNow(gateway));
 }
 
 void renewSubscriptions(Gateway &gateway)
@@ -114,6 +116,7 @@
     relay.m_subscribedAt = now;
     PeerMessage message;
     message.m_kind = PeerKind::Subscribe;
+    message.m_subscribedUs = now.time_since_epoch().count();
     for (const std::string &node : relaySources(gateway.m_membership, now)) {
         sendToPeer(gateway, node, message);
     }
--- a/src/gateway_store.cpp
+++ b/src/gateway_store.cpp
@@ -99,6 +99,7 @@
     beginEra(store.m_era, gateway.m_registry, store.m_members, gatewayNow(gateway));
     listAgain(gateway);
     store.m_lease = 0;
+    loseColdLease(gateway.m_cold);
     store.m_leaseTimer.stop();
     if (store.m_leaseConnection->m_busy) {
         dropStoreCall(*store.m_leaseConnection);
@@ -374,6 +375,7 @@
         members.push_back(listed.m_member);
     }
     replaceMembers(gateway.m_membership, std::move(members), now);
+    noteMembers(gateway);
     if (next) {
         store.m_memberTimer.start(gateway.m_loop, *next - now, [&gateway] { applyMembers(gateway); });
     }
@@ -404,6 +406,7 @@
                  {{"key", item.m_key}, {"error", std::string(record.status().message())}});
         return std::nullopt;
     }
+    noteRegistration(gateway, *record, item.m_version.revision());
     return std::move(*record);
 }
 
@@ -548,6 +551,7 @@
 void startListing(Gateway &gateway)
 {
     StoreWatch &watch = gateway.m_store.m_watch;
+    watch.m_listStartedAt = gatewayNow(gateway);
     watch.m_listing = 0;
     watch.m_page.clear();
     watch.m_listVersion.reset();
@@ -576,6 +580,7 @@
     if (gateway.m_store.m_era.m_era > 0) {
         askPeersForState(gateway, isFirst);
     }
+    observeColdView(gateway.m_cold, watch.m_listStartedAt, gatewayNow(gateway));
     confirm(gateway);
     callWatch(gateway);
 }
@@ -625,6 +630,15 @@
     return std::max(MinWatchPause, watch.m_nextEventsAt - now);
 }
 
+/** The earliest time at which the store may have read what the answer to a watch call tells. */
+TimePoint viewTime(const Gateway &gateway, const Platform::StoreItems &events)
+{
+    const StoreWatch &watch = gateway.m_store.m_watch;
+    const TimePoint startedAt = watch.m_connection->m_startedAt;
+    const bool hasWaited = gatewayNow(gateway) >= startedAt + watch.m_wait;
+    return events.m_items.empty() && hasWaited ? startedAt + watch.m_wait : startedAt;
+}
+
 void handleWatch(Gateway &gateway, int status, const std::string &body)
 {
     StoreWatch &watch = gateway.m_store.m_watch;
@@ -633,6 +647,7 @@
     if (events.ok()) {
         const Duration age = watchAge(gateway);
         const StoreVersion from = watch.m_version;
+        const TimePoint viewAt = viewTime(gateway, *events);
         recordWatchAnswer(gateway);
         countUnreadable(gateway, *events);
         // A relayed answer may have told of newer changes while this call was open.
@@ -643,6 +658,7 @@
         const bool wasCurrent = watch.m_isCurrent;
         watch.m_isProven = wasCurrent && events->m_items.empty();
         applyEvents(gateway, *events, age);
+        observeColdView(gateway.m_cold, viewAt, gatewayNow(gateway));
         relayAnswer(gateway, from, *events);
         confirm(gateway);
         watch.m_timer.start(gateway.m_loop, pauseBeforeCall(gateway, wasCurrent), [&gateway] { callWatch(gateway); });
@@ -694,6 +710,7 @@
     const bool isLong = watch.m_isCurrent && watch.m_isProven && !isSentinel(gateway) && gateway.m_relay.m_subscribers.empty();
     const Duration wait = !watch.m_isCurrent ? ConfirmingWatchWait : isLong ? LongWatchWait : ShortWatchWait;
     const Duration margin = isLong ? LongWatchMargin : ShortWatchMargin;
+    watch.m_wait = wait;
     writeLog(watch.m_isInterrupted ? LogLevel::Info : LogLevel::Debug,
              "store",
              "Watch started.",
@@ -701,6 +718,7 @@
               {"connection", watch.m_connection->m_net == nullptr ? "new" : "kept"},
               {"wait_ms", fmt::format("{}", wait.count() / 1000)}});
     gateway.m_watchCalls += 1;
+    beginRelayedCall(gateway.m_relay);
     // All keys have the empty prefix.
     const std::string target = Platform::formatWatchTarget("", watch.m_version.revision(), wait);
     callStore(gateway, *watch.m_connection, "GET", target, "", wait + margin, [&gateway](int status, const std::string &body) {
@@ -726,11 +744,13 @@
 void handleLeaseFailure(Gateway &gateway, int status)
 {
     gateway.m_store.m_lease = 0;
+    loseColdLease(gateway.m_cold);
     recordStoreFailure(gateway, *gateway.m_store.m_leaseConnection, "lease", status);
     scheduleLease(gateway, retryDelay(gateway));
 }
 
-void registerMember(Gateway &gateway)
+/** @param leaseStartedAt when the lease was requested */
+void registerMember(Gateway &gateway, TimePoint leaseStartedAt)
 {
     StoreClient &store = gateway.m_store;
     const std::string key = std::string(Platform::MemberPrefix) + gateway.m_settings.m_node;
@@ -741,11 +761,12 @@
               std::string(Platform::TransactionTarget),
               body,
               CallTimeout,
-              [&gateway](int status, const std::string &) {
+              [&gateway, leaseStartedAt](int status, const std::string &) {
                   if (status != HTTP_STATUS_OK) {
                       handleLeaseFailure(gateway, status);
                       return;
                   }
+                  observeColdLease(gateway.m_cold, leaseStartedAt, gateway.m_store.m_leaseLifetime, gatewayNow(gateway));
                   scheduleLease(gateway, LeaseRenewal);
               });
 }
@@ -753,14 +774,15 @@
 void requestLease(Gateway &gateway)
 {
     StoreClient &store = gateway.m_store;
-    const std::string body = Platform::formatLeaseBody(std::max(LeaseTime, Duration(milliseconds(gateway.m_settings.m_minLeaseMs))));
+    const Duration lifetime = std::max(LeaseTime, Duration(milliseconds(gateway.m_settings.m_minLeaseMs)));
+    const std::string body = Platform::formatLeaseBody(lifetime);
     callStore(gateway,
               *store.m_leaseConnection,
               "POST",
               std::string(Platform::LeaseTarget),
               body,
               CallTimeout,
-              [&gateway](int status, const std::string &answer) {
+              [&gateway, lifetime](int status, const std::string &answer) {
                   const absl::StatusOr<int64_t> lease =
                       status == HTTP_STATUS_OK ? Platform::decodeLease(answer) : absl::UnavailableError("no answer");
                   if (!lease.ok()) {
@@ -768,7 +790,8 @@
                       return;
                   }
                   gateway.m_store.m_lease = *lease;
-                  registerMember(gateway);
+                  gateway.m_store.m_leaseLifetime = Platform::decodeLeaseLifetime(answer, lifetime);
+                  registerMember(gateway, gateway.m_store.m_leaseConnection->m_startedAt);
               });
 }
 
@@ -791,11 +814,16 @@
               [&gateway](int status, const std::string &) {
                   if (status == HTTP_STATUS_OK) {
                       recordStoreAnswer(gateway);
+                      observeColdLease(gateway.m_cold,
+                                       gateway.m_store.m_leaseConnection->m_startedAt,
+                                       gateway.m_store.m_leaseLifetime,
+                                       gatewayNow(gateway));
                       scheduleLease(gateway, LeaseRenewal);
                       return;
                   }
                   if (status == HTTP_STATUS_NOT_FOUND) {
                       gateway.m_store.m_lease = 0;
+                      loseColdLease(gateway.m_cold);
                       requestLease(gateway);
                       return;
                   }
@@ -862,6 +890,7 @@
     gateway.m_configuration = std::make_shared<const ServingConfiguration>(std::move(*decoded));
     gateway.m_configurationWrite = write;
     gateway.m_configurationText = text;
+    noteConfiguration(gateway);
     writeLog(LogLevel::Info, "config", "Configuration applied.", {{"version", fmt::format("{}", gateway.m_configuration->m_version)}});
 }
 
@@ -971,6 +1000,7 @@
 {
     StoreClient &store = gateway.m_store;
     store.m_leaseTimer.stop();
+    loseColdLease(gateway.m_cold);
     if (store.m_lease == 0 || store.m_leaseConnection->m_busy) {
         return; // the lease expires
     }
--- a/src/gateway_upstreams.cpp
+++ b/src/gateway_upstreams.cpp
@@ -133,6 +133,7 @@
     auto owned = std::move(gateway.m_calls.at(call->m_number));
     gateway.m_calls.erase(call->m_number);
     rememberCall(*connection, *owned);
+    returnPermit(gateway, *owned);
     if (connection->m_messageKind != MessageKind::Answer) {
         connection->m_reader.reset(); // the callback must not read a message of another call
     }
@@ -170,6 +171,7 @@
 void observeNotices(Gateway &gateway, const UpstreamConnection &connection)
 {
     const HttpReader &reader = connection.m_reader;
+    noteColdAnswer(gateway, connection.m_replica, reader.m_headers);
     if (reader.m_status == HTTP_STATUS_SERVICE_UNAVAILABLE && connection.m_messageKind == MessageKind::Answer) {
         observeRefusal(gateway, connection);
     }
@@ -373,7 +375,7 @@
             observeConnected(connected->m_connects, *connection->m_connectedAt);
         }
         if (connection->m_call != nullptr) {
-            if (!isWriteAllowed(gateway, *connection->m_call)) {
+            if (!isWriteAllowed(gateway, *connection->m_call) || !takePermit(gateway, *connection->m_call)) {
                 finishCall(gateway, connection, CallEnd::NotConnected);
                 return;
             }
@@ -488,9 +490,14 @@
 UpstreamCall *startCall(Gateway &gateway, const std::string &replica, UpstreamCall prototype, ConnectionUse use)
 {
     Upstream &upstream = gateway.m_upstreams.at(replica);
-    UpstreamConnection *connection = takeIdle(gateway, upstream, prototype, use);
+    prototype.m_replica = replica;
+    reservePermit(gateway, prototype);
+    // Without a permit, the call is refused when its new connection is open, as this function must not end it.
+    const bool isSendable = !isWithheld(gateway, replica) || prototype.m_permit;
+    UpstreamConnection *connection = isSendable ? takeIdle(gateway, upstream, prototype, use) : nullptr;
     const bool reused = connection != nullptr;
     if (!reused && !isWithinShare(gateway, upstream)) {
+        returnPermit(gateway, prototype);
         return nullptr;
     }
     auto owned = std::make_unique<UpstreamCall>(std::move(prototype));
@@ -508,6 +515,7 @@
     connection->m_purpose = call->m_purpose;
     call->m_connection = connection;
     if (reused) {
+        takePermit(gateway, *call);
         gateway.m_connectionCounts.m_reused += 1;
         call->m_sent = true;
         logCallWritten(gateway, *call);
@@ -523,6 +531,7 @@
         return;
     }
     UpstreamConnection *connection = call->second->m_connection;
+    returnPermit(gateway, *call->second);
     gateway.m_calls.erase(call);
     connection->m_call = nullptr;
     closeUpstream(gateway, connection);
--- a/src/serving_relay.cpp
+++ b/src/serving_relay.cpp
@@ -76,9 +76,30 @@
     return true;
 }
 
+void noteSubscriberTime(RelayState &state, const std::string &node, int64_t timeUs)
+{
+    if (state.m_subscribers.contains(node)) {
+        state.m_subscriberTimes[node].first = timeUs;
+    }
+}
+
+void beginRelayedCall(RelayState &state)
+{
+    for (auto &[node, times] : state.m_subscriberTimes) {
+        times.second = times.first;
+    }
+}
+
+int64_t answeredTime(const RelayState &state, const std::string &node)
+{
+    const auto times = state.m_subscriberTimes.find(node);
+    return times == state.m_subscriberTimes.end() ? 0 : times->second.second;
+}
+
 std::vector<std::string> currentSubscribers(RelayState &state, TimePoint now)
 {
     std::erase_if(state.m_subscribers, [now](const auto &entry) { return entry.second <= now; });
+    std::erase_if(state.m_subscriberTimes, [&state](const auto &entry) { return !state.m_subscribers.contains(entry.first); });
     std::vector<std::string> nodes;
     for (const auto &[node, end] : state.m_subscribers) {
         nodes.push_back(node);
--- a/tests/test_relay.cpp
+++ b/tests/test_relay.cpp
@@ -14,6 +14,7 @@
     CPPUNIT_TEST(watchersGrowWithTheSquareRoot);
     CPPUNIT_TEST(suspectedWatchersAreReplaced);
     CPPUNIT_TEST(subscriptionsEnd);
+    CPPUNIT_TEST(answersProveTheirAge);
     CPPUNIT_TEST(gapsAreReadFromTheStore);
     CPPUNIT_TEST(followersLearnChangesWithoutOwnCalls);
     CPPUNIT_TEST(followersWatchWhenTheirSourcesAreGone);
@@ -98,6 +99,23 @@
         CPPUNIT_ASSERT(currentSubscribers(state, now + SubscriptionTime) == std::vector<std::string>{"g0"});
     }
 
+    // Guards against an answer that is taken for newer than the subscription that reached the watcher before its call.
+    void answersProveTheirAge()
+    {
+        RelayState state;
+        const TimePoint now = TimePoint() + seconds(100);
+        noteSubscriberTime(state, "a", 5);
+        CPPUNIT_ASSERT_EQUAL(int64_t(0), answeredTime(state, "a"));
+        addSubscriber(state, "a", now);
+        noteSubscriberTime(state, "a", 10);
+        CPPUNIT_ASSERT_EQUAL(int64_t(0), answeredTime(state, "a"));
+        beginRelayedCall(state);
+        noteSubscriberTime(state, "a", 20);
+        CPPUNIT_ASSERT_EQUAL(int64_t(10), answeredTime(state, "a"));
+        currentSubscribers(state, now + SubscriptionTime);
+        CPPUNIT_ASSERT_EQUAL(int64_t(0), answeredTime(state, "a"));
+    }
+
     // Guards against changes that are skipped because the answer before them was lost, and against older knowledge that replaces newer.
     void gapsAreReadFromTheStore()
     {
