Keep long prompts apart on model engines

Long prompts were placed without regard to those that other gateways had placed at the same replica. Gateways tell each other which replicas read one (PeerKind::LongPrompts, at most 904 bytes/s to a peer), and long prompts avoid these replicas. Enabled for services with an objective for pauses up to 500 ms; setting long_prompts. Off, placement is as before.

--- a/src/gateway_attempts.cpp
+++ b/src/gateway_attempts.cpp
@@ -58,14 +58,15 @@
 
 std::optional<std::string> chooseReplica(Gateway &gateway, const Exchange &exchange)
 {
-    const std::vector<ReplicaView> views = viewReplicas(gateway, exchange);
+    std::vector<ReplicaView> views = viewReplicas(gateway, exchange);
     PlacementRequest request;
     request.m_parts = exchange.m_parts;
     request.m_callerDomain = gateway.m_settings.m_failureDomain;
     std::optional<size_t> index;
     if (exchange.m_route->m_usesEngine) {
         request.m_inputBytes = resultBytesByDomain(gateway, exchange, unreleasedStages(exchange));
-        index = placePrompt(views, request);
+        index = placeLongPrompt(gateway, exchange, views, request);
+        index = index ? index : placePrompt(views, request);
     } else {
         index = placePlain(views, request, gateway.m_random);
     }
@@ -123,6 +124,7 @@
         upstream->second.m_pendingTokens -= promptTokens(exchange);
     }
     exchange.m_attempt->m_countsTokens = false;
+    exchange.m_attempt->m_longUntil.reset();
 }
 
 /** Removes the attempt from the load of its replica and stops its timer. */
@@ -521,6 +523,7 @@
     upstream.m_running += 1;
     upstream.m_pendingTokens += promptTokens(exchange);
     exchange.m_attempt->m_countsTokens = true;
+    noteLongPrompt(gateway, exchange);
     UpstreamCall call;
     call.m_text = formatAttempt(gateway, exchange, *replica);
     call.m_attemptId = exchange.m_attemptId;
--- a/src/gateway_internal.h
+++ b/src/gateway_internal.h
@@ -9,6 +9,7 @@
  *  [SECTION] Requests   admission, attempts and end of a request
  *  [SECTION] Stages     stage tasks of this gateway's requests, and the queues that this gateway owns
  *  [SECTION] Peers      messages between gateways
+ *  [SECTION] Long prompts  which replicas read long prompts
  *  [SECTION] Crashes    requests and prompt parts that crash replicas
  *  [SECTION] Store      client of the key-value store
  *  [SECTION] Gateway    state of one gateway process
@@ -157,6 +158,7 @@
     bool m_began = false; ///< the replica has begun to answer: an event or a whole answer was received
     bool m_countsTokens = false; ///< the prompt is included in the replica's m_pendingTokens
     std::string m_partialEvent; ///< bytes of an incomplete event
+    std::optional<TimePoint> m_longUntil; ///< while a long prompt is read: expected end
 };
 
 /** A caller's request, from the arrival of its last byte until it has been answered. */
@@ -303,6 +305,7 @@
     Cleared,
     Refused,
     Revision,
+    LongPrompts,
     Count
 };
 
@@ -325,8 +328,8 @@
     int64_t m_workUs = 0; ///< submit: expected time from the start of the stage to the answer, microseconds
     std::string m_failureDomain;
     uint8_t m_reason = 0;
-    std::vector<uint64_t> m_requests; ///< crash, cleared and refused: digests of requests
-    std::vector<uint64_t> m_parts; ///< crash, cleared and refused: ids of prompt parts
+    std::vector<uint64_t> m_requests; ///< crash, cleared and refused: digests of requests; long prompts: times left, microseconds
+    std::vector<uint64_t> m_parts; ///< crash, cleared and refused: ids of prompt parts; long prompts: hashes of replica and incarnation
     std::vector<uint64_t> m_answeredParts; ///< crash: those of m_parts that replicas have answered before
     int64_t m_revision = 0; ///< revision: the newest revision of the key-value store that the sender has seen
 
@@ -371,6 +374,29 @@
 /** Pings quiet peers that have open tasks of this gateway, and drops those that time out. */
 void checkPeers(Gateway &gateway);
 
+//-----------------------------------------------------------------------------
+// [SECTION] Long prompts
+//-----------------------------------------------------------------------------
+
+struct LongPromptState {
+    LongPromptReports m_reports;
+    TimePoint m_reportedAt; ///< last report of this gateway
+    NetTimer m_timer; ///< until the next report may be sent
+    uint64_t m_placed = 0; ///< long prompts of this gateway
+    uint64_t m_moved = 0; ///< of these, placed at another replica because of reports
+    uint64_t m_sent = 0; ///< reports, each to all other gateways
+    uint64_t m_received = 0;
+    uint64_t m_dropped = 0; ///< reports that are malformed or of too many gateways
+};
+
+/** Places a long prompt with what other gateways report; nothing when the prompt is not long or the part is off. */
+std::optional<size_t>
+placeLongPrompt(Gateway &gateway, const Exchange &exchange, std::vector<ReplicaView> &views, PlacementRequest &request);
+/** Reports the prompt of an attempt that begins, if its replica has to read a long one. */
+void noteLongPrompt(Gateway &gateway, Exchange &exchange);
+/** Handles a message of kind LongPrompts. */
+void handleLongPrompts(Gateway &gateway, const std::string &node, const PeerMessage &message);
+
 //-----------------------------------------------------------------------------
 // [SECTION] Crashes
 //-----------------------------------------------------------------------------
@@ -498,6 +524,7 @@
     std::map<uint64_t, Submission> m_submissions;
     std::map<std::string, std::unique_ptr<OwnedQueue>> m_queues; ///< by service
     std::list<PeerLink> m_peers;
+    LongPromptState m_longPrompts;
 
     bool m_draining = false;
     TimePoint m_drainStartedAt;
--- a/src/gateway_peers.cpp
+++ b/src/gateway_peers.cpp
@@ -179,6 +179,9 @@
     case PeerKind::Revision:
         handleRevision(gateway, message.m_revision);
         return;
+    case PeerKind::LongPrompts:
+        handleLongPrompts(gateway, link.m_node, message);
+        return;
     case PeerKind::Pong:
     case PeerKind::Count:
         return;
--- a/src/gateway_run.cpp
+++ b/src/gateway_run.cpp
@@ -86,6 +86,16 @@
     for (const std::string &failureDomain : gateway.m_registry.m_evacuatedDomains) {
         evacuated.Add({{"failure_domain", failureDomain}}).Set(1);
     }
+    auto &longPrompts = prometheus::BuildCounter()
+                            .Name("medlarramp_long_prompts_total")
+                            .Help("Long prompts placed, and those moved because of reports; reports sent, received and dropped")
+                            .Register(registry);
+    const LongPromptState &state = gateway.m_longPrompts;
+    longPrompts.Add({{"event", "placed"}}).Increment(static_cast<double>(state.m_placed));
+    longPrompts.Add({{"event", "moved"}}).Increment(static_cast<double>(state.m_moved));
+    longPrompts.Add({{"event", "report_sent"}}).Increment(static_cast<double>(state.m_sent));
+    longPrompts.Add({{"event", "report_received"}}).Increment(static_cast<double>(state.m_received));
+    longPrompts.Add({{"event", "report_dropped"}}).Increment(static_cast<double>(state.m_dropped));
     auto &waiting = prometheus::BuildGauge().Name("medlarramp_queued_tasks").Help("Stage tasks in owned queues").Register(registry);
     for (const auto &[service, owned] : gateway.m_queues) {
         waiting.Add({{"service", service}}).Set(static_cast<double>(owned->m_queue.m_tasks.size()));
--- a/src/serving.h
+++ b/src/serving.h
@@ -12,6 +12,7 @@
  *  [SECTION] Stage queue    batching of pieces for the replicas of a stage service
  *  [SECTION] Start          whether a request is refused on arrival
  *  [SECTION] Placement      choice of the replica for a request
+ *  [SECTION] Long prompts   which replicas read long prompts, told between gateways
  *  [SECTION] Retries        the retry budget and the step after a failed attempt
  *  [SECTION] Crashes        requests and prompt parts that crash replicas
  *
@@ -38,6 +39,9 @@
 // [SECTION] Settings
 //-----------------------------------------------------------------------------
 
+/** Whether gateways keep long prompts apart, see separatesLongPrompts(). */
+enum class LongPromptMode : uint8_t { Auto, On, Off };
+
 /** Settings of one gateway. Filled by parseGatewaySettings(). */
 struct GatewaySettings {
     std::string m_node;
@@ -56,6 +60,7 @@
     double m_extraRetries = 20; ///< retries allowed per window in addition to the ratio, over all gateways
     Duration m_retryWindow = seconds(10);
     int64_t m_minLeaseMs = 1000; ///< shortest lease that the store grants, milliseconds
+    LongPromptMode m_longPrompts = LongPromptMode::Auto;
     LogLevel m_logLevel = LogLevel::Info;
 
     bool operator==(const GatewaySettings &) const = default;
@@ -585,6 +590,7 @@
     int m_running = 0; ///< requests of this gateway
     int64_t m_pendingTokens = 0; ///< prompt tokens of this gateway's requests that are not answered yet
     double m_latency = 0; ///< moving mean of observed latencies, seconds; 0: unknown
+    double m_longPromptSeconds = 0; ///< time that it still reads long prompts of other gateways
     bool m_suspected = false; ///< it failed recently
     bool m_tried = false; ///< an earlier attempt at this request failed there
 };
@@ -593,17 +599,76 @@
     std::vector<PromptPart> m_parts; ///< empty for a plain request
     std::string m_callerDomain; ///< failure domain of this gateway
     BytesByDomain m_inputBytes; ///< results that the request reads
+    bool m_spreadsTies = false; ///< replicas of equal cost are chosen by rendezvous hashing, not in the order of their ids
 };
 
 /** Index of the replica with the lowest expected cost; nothing when @p replicas is empty. */
 std::optional<size_t> placePlain(const std::vector<ReplicaView> &replicas, const PlacementRequest &request, Random &random);
-/** As placePlain(), for replicas that cache prompt parts. */
+/**
+ * As placePlain(), for replicas that cache prompt parts. Waiting for long prompts of other gateways is weighed like waiting for
+ * those of this one.
+ */
 std::optional<size_t> placePrompt(const std::vector<ReplicaView> &replicas, const PlacementRequest &request);
 /**
  * Index of the replica that is expected to have the shared parts of a prompt cached: rendezvous hashing on the last
  * shared part, the same at all gateways.
  */
 std::optional<size_t> homeReplica(const std::vector<ReplicaView> &replicas, const std::vector<PromptPart> &parts);
+/** Tokens of a prompt that a replica is expected to read: all, without the shared parts at the home replica. */
+int64_t expectedUncachedTokens(const std::vector<PromptPart> &parts, bool isHome);
+/** Time to read @p tokens by the prior of all engines, for a replica whose speed is not known. */
+Duration priorReadTime(int64_t tokens);
+
+//-----------------------------------------------------------------------------
+// [SECTION] Long prompts
+//-----------------------------------------------------------------------------
+
+/** Prompts with at least this many tokens to read are long: 8 chunks of 2,048 tokens, about 100 to 150 ms. */
+constexpr int64_t MinLongPromptTokens = 16'384;
+/** Automatic mode separates long prompts at services with an objective for gaps up to this, as reading one takes 350 to 490 ms. */
+constexpr Duration MaxLongPromptGap = milliseconds(500);
+constexpr Duration LongPromptReportLifetime = milliseconds(1000); ///< reports of a silent gateway expire after this
+/** Between two reports of a gateway; with MaxReportedLongPrompts it limits them to 1 KB/s to a peer. */
+constexpr Duration MinLongPromptReportInterval = milliseconds(250);
+constexpr size_t MaxReportedLongPrompts = 5; ///< of one gateway in one report; those that end last are reported
+constexpr size_t MaxLongPromptReporters = 1024; ///< reports of more gateways are dropped
+
+/** A long prompt that a replica reads. */
+struct LongPrompt {
+    uint64_t m_replica = 0; ///< hash of the replica and its incarnation
+    TimePoint m_endsAt; ///< expected end of reading it
+
+    bool operator==(const LongPrompt &) const = default;
+};
+
+/** The latest reports of other gateways. */
+struct LongPromptReports {
+    struct Report {
+        TimePoint m_expiresAt;
+        std::vector<LongPrompt> m_prompts;
+    };
+    std::map<std::string, Report> m_byNode;
+};
+
+std::optional<LongPromptMode> parseLongPromptMode(std::string_view text);
+/**
+ * Whether long prompts are kept apart at @p service: in automatic mode if it is a pool of engines, and the tightest objective for
+ * gaps among its routes is at most MaxLongPromptGap.
+ */
+bool separatesLongPrompts(const ServingConfiguration &configuration, const std::string &service, LongPromptMode mode);
+/** Replaces what @p node has reported. @return false when the report was dropped, as too many gateways report. */
+bool applyLongPromptReport(LongPromptReports &reports, const std::string &node, std::vector<LongPrompt> prompts, TimePoint now);
+/** Removes the reports that have expired. @return how many. */
+size_t expireLongPromptReports(LongPromptReports &reports, TimePoint now);
+/**
+ * Time that each replica still reads long prompts of other gateways, in seconds; replicas that read none are left out. Sized for
+ * 28 long prompts per second at 112 replicas, read in 350 to 490 ms each, and for 3 times as many in a burst.
+ */
+std::unordered_map<uint64_t, double> longPromptSeconds(const LongPromptReports &reports, TimePoint now);
+/** Whether a prompt is long wherever it is placed: its home replica has to read MinLongPromptTokens or more as well. */
+bool isLongPrompt(const std::vector<PromptPart> &parts);
+/** The prompts of one report: at most MaxReportedLongPrompts, those that end last. */
+std::vector<LongPrompt> selectLongPrompts(std::vector<LongPrompt> prompts, TimePoint now);
 
 //-----------------------------------------------------------------------------
 // [SECTION] Retries
--- a/src/serving_configuration.cpp
+++ b/src/serving_configuration.cpp
@@ -35,6 +35,13 @@
     readNumber(reader, "repeat_extra", settings.m_extraRetries, 0, 1e6);
     readMilliseconds(reader, "repeat_window_ms", settings.m_retryWindow, milliseconds(100), milliseconds(600'000));
     readInteger(reader, "min_lease_ms", settings.m_minLeaseMs, 1, 600'000);
+    std::string longPrompts = "auto";
+    readString(reader, "long_prompts", longPrompts, false, MaxSettingBytes);
+    if (const std::optional<LongPromptMode> parsed = parseLongPromptMode(longPrompts)) {
+        settings.m_longPrompts = *parsed;
+    } else {
+        addFinding(reader, "long_prompts", "is not auto, on or off");
+    }
     std::string level = "info";
     readString(reader, "log_level", level, false, MaxSettingBytes);
     if (const std::optional<LogLevel> parsed = parseLogLevel(level)) {
--- a/src/serving_placement.cpp
+++ b/src/serving_placement.cpp
@@ -14,6 +14,7 @@
 constexpr double SecondsPerRunningRequest = 0.004; ///< delay that each running request adds
 /** Transfer time in seconds per byte of input from another failure domain; weighed against processing prompt tokens again. */
 constexpr double InputSecondsPerByte = 1e-8;
+constexpr double TieCost = 1e-6; ///< seconds; costs that differ by less are equal
 constexpr double FullReplicaCost = 10; ///< seconds, expected wait for a slot when all are taken; about the time of a run
 
 double runningRequests(const ReplicaView &replica)
@@ -66,8 +67,9 @@
 
 double expectedPromptCost(const ReplicaView &replica, const PlacementRequest &request, bool isHome)
 {
-    const int64_t uncachedTokens = tokenCount(request.m_parts) - (isHome ? sharedTokens(request.m_parts) : 0);
+    const int64_t uncachedTokens = expectedUncachedTokens(request.m_parts, isHome);
     double cost = static_cast<double>(uncachedTokens + replica.m_pendingTokens) * SecondsPerToken;
+    cost += replica.m_longPromptSeconds;
     const double running = runningRequests(replica);
     cost += running * SecondsPerRunningRequest;
     cost += running >= replica.m_slots ? FullReplicaCost : 0;
@@ -75,8 +77,23 @@
     return cost + failurePenalty(replica);
 }
 
+uint64_t rendezvousScore(const ReplicaView &replica, uint64_t sharedPart)
+{
+    return combineHash(hash64(replica.m_id), sharedPart);
+}
+
 } // namespace
 
+int64_t expectedUncachedTokens(const std::vector<PromptPart> &parts, bool isHome)
+{
+    return tokenCount(parts) - (isHome ? sharedTokens(parts) : 0);
+}
+
+Duration priorReadTime(int64_t tokens)
+{
+    return Duration(static_cast<int64_t>(static_cast<double>(tokens) * SecondsPerToken * 1e6));
+}
+
 std::vector<uint64_t> sharedPartIds(const std::vector<PromptPart> &parts)
 {
     std::vector<uint64_t> ids;
@@ -92,7 +109,7 @@
     std::optional<size_t> home;
     uint64_t best = 0;
     for (size_t i = 0; i < replicas.size(); ++i) {
-        const uint64_t score = combineHash(hash64(replicas[i].m_id), sharedPart);
+        const uint64_t score = rendezvousScore(replicas[i], sharedPart);
         if (!home || score > best) {
             home = i;
             best = score;
@@ -119,11 +136,15 @@
 std::optional<size_t> placePrompt(const std::vector<ReplicaView> &replicas, const PlacementRequest &request)
 {
     const std::optional<size_t> home = homeReplica(replicas, request.m_parts);
+    const uint64_t sharedPart = lastSharedPart(request.m_parts);
     std::optional<size_t> chosen;
     double best = 0;
     for (size_t i = 0; i < replicas.size(); ++i) {
         const double cost = expectedPromptCost(replicas[i], request, home == i);
-        if (!chosen || cost < best) {
+        const bool winsTie = request.m_spreadsTies && chosen && std::abs(cost - best) < TieCost
+            && rendezvousScore(replicas[i], sharedPart) > rendezvousScore(replicas[*chosen], sharedPart);
+        const bool isCheaper = !chosen || (request.m_spreadsTies ? cost < best - TieCost : cost < best);
+        if (isCheaper || winsTie) {
             chosen = i;
             best = cost;
         }
