Report at most three long prompts of a gateway

Messages grow with each part that adds fields to PeerMessage; 776 instead of 904 bytes/s to a peer leave room below 1 KB/s.

--- a/src/serving.h
+++ b/src/serving.h
@@ -690,7 +690,7 @@
 constexpr Duration LongPromptReportLifetime = milliseconds(1000); ///< reports of a silent gateway expire after this
 /** Between two reports of a gateway; with MaxReportedLongPrompts it limits them to 1 KB/s to a peer. */
 constexpr Duration MinLongPromptReportInterval = milliseconds(250);
-constexpr size_t MaxReportedLongPrompts = 5; ///< of one gateway in one report; those that end last are reported
+constexpr size_t MaxReportedLongPrompts = 3; ///< of one gateway in one report; those that end last are reported
 constexpr size_t MaxLongPromptReporters = 1024; ///< reports of more gateways are dropped
 
 /** A long prompt that a replica reads. */
