--- a/src/gateway_attempts.cpp
+++ b/src/gateway_attempts.cpp
@@ -35,6 +35,7 @@
     const std::vector<std::string> &ids = gateway.m_replicasByService[exchange.m_service];
     const size_t index = memberIndex(gateway);
     const TimePoint now = gatewayNow(gateway);
+    const bool learnsSpeed = learnsEngineSpeed(gateway, exchange);
     for (const std::string &id : ids) {
         const Upstream &upstream = gateway.m_upstreams.at(id);
         const bool hasIdle = hasReusable(gateway, upstream, connectionUse(exchange), scarce);
@@ -53,6 +54,11 @@
         view.m_running = upstream.m_running;
         view.m_pendingTokens = upstream.m_pendingTokens;
         view.m_latency = upstream.m_latency;
+        if (!exchange.m_route->m_usesEngine) {
+            view.m_speedRatio = plainSpeedRatio(upstream, now);
+        } else if (learnsSpeed) {
+            view.m_speedRatio = estimateSpeed(upstream.m_speed, now).m_ratio;
+        }
         view.m_suspected = now < upstream.m_suspectedUntil;
         view.m_tried = exchange.m_tried.contains(id);
         const bool preferred = isPreferred(upstream.m_ringPosition, ids.size(), index);
@@ -107,20 +113,35 @@
     return stages;
 }
 
-std::optional<std::string> chooseReplica(Gateway &gateway, const Exchange &exchange)
+struct ReplicaChoice {
+    std::string m_id;
+    std::optional<int64_t> m_uncachedTokens; ///< that the replica is expected to read, when the speed of engines is learned
+};
+
+std::optional<ReplicaChoice> chooseReplica(Gateway &gateway, const Exchange &exchange)
 {
-    const std::vector<ReplicaView> views = viewReplicas(gateway, exchange);
+    std::vector<ReplicaView> views = viewReplicas(gateway, exchange);
     PlacementRequest request;
     request.m_parts = exchange.m_parts;
     request.m_callerDomain = gateway.m_settings.m_failureDomain;
+    const bool learnsSpeed = learnsEngineSpeed(gateway, exchange);
+    request.m_spreadsTies = learnsSpeed;
     std::optional<size_t> index;
     if (exchange.m_route->m_usesEngine) {
         request.m_inputBytes = resultBytesByDomain(gateway, exchange, unreleasedStages(exchange));
-        index = placePrompt(views, request);
+        index = placeLongPrompt(gateway, exchange, views, request);
+        index = index ? index : placePrompt(views, request);
     } else {
         index = placePlain(views, request, gateway.m_random);
     }
-    return index ? std::optional(views[*index].m_id) : std::nullopt;
+    if (!index) {
+        return std::nullopt;
+    }
+    ReplicaChoice choice{views[*index].m_id, std::nullopt};
+    if (learnsSpeed && !exchange.m_parts.empty()) {
+        choice.m_uncachedTokens = expectedUncachedTokens(exchange.m_parts, homeReplica(views, exchange.m_parts) == index);
+    }
+    return choice;
 }
 
 bool isForwarded(const HttpHeader &header, const std::vector<std::string> &connectionNames)
@@ -174,6 +195,7 @@
         upstream->second.m_pendingTokens -= promptTokens(exchange);
     }
     exchange.m_attempt->m_countsTokens = false;
+    exchange.m_attempt->m_longUntil.reset();
 }
 
 /** Removes the attempt from the load of its replica and stops its timer. */
@@ -291,6 +313,7 @@
     releaseStages(gateway, exchange, true);
     const Duration latency = gatewayNow(gateway) - exchange.m_attempt->m_startedAt;
     recordAttempt(gateway, exchange.m_attempt->m_replica, false, false, latency);
+    observeFirstEvent(gateway, exchange, latency);
     beginStream(gateway, *exchange.m_caller, reader.m_status, answerHeaders(reader), events);
     throttleUpstream(gateway, exchange);
 }
@@ -556,8 +579,8 @@
     if (rejectRefused(gateway, exchange)) {
         return;
     }
-    const std::optional<std::string> replica = chooseReplica(gateway, exchange);
-    if (!replica) {
+    const std::optional<ReplicaChoice> choice = chooseReplica(gateway, exchange);
+    if (!choice) {
         if (refuseIfPaused(gateway, exchange, gatewayNow(gateway))) {
             return;
         }
@@ -580,20 +603,23 @@
         return;
     }
     exchange.m_attempt = std::make_unique<Attempt>();
-    exchange.m_attempt->m_replica = *replica;
+    exchange.m_attempt->m_replica = choice->m_id;
     exchange.m_attempt->m_startedAt = gatewayNow(gateway);
-    Upstream &upstream = gateway.m_upstreams.at(*replica);
+    exchange.m_attempt->m_uncachedTokens = choice->m_uncachedTokens;
+    Upstream &upstream = gateway.m_upstreams.at(choice->m_id);
+    exchange.m_attempt->m_runningBefore = upstream.m_running;
     upstream.m_running += 1;
     upstream.m_pendingTokens += promptTokens(exchange);
     exchange.m_attempt->m_countsTokens = true;
+    noteLongPrompt(gateway, exchange);
     UpstreamCall call;
-    call.m_text = formatAttempt(gateway, exchange, *replica);
+    call.m_text = formatAttempt(gateway, exchange, choice->m_id);
     call.m_attemptId = exchange.m_attemptId;
     call.m_ids = {hash64(exchange.m_attemptId)};
     const uint64_t number = exchange.m_number;
     call.m_onProgress = [&gateway, number](UpstreamCall &progress) { handleProgress(gateway, number, progress); };
     call.m_onEnd = [&gateway, number](UpstreamCall &ended, CallEnd end) { handleCallEnd(gateway, number, ended, end); };
-    const UpstreamCall *started = startCall(gateway, *replica, std::move(call), connectionUse(exchange));
+    const UpstreamCall *started = startCall(gateway, choice->m_id, std::move(call), connectionUse(exchange));
     if (started == nullptr) {
         releaseReplica(gateway, exchange);
         waitForShare(gateway, exchange);
--- a/src/gateway_internal.h
+++ b/src/gateway_internal.h
@@ -9,6 +9,7 @@
  *  [SECTION] Requests   admission, attempts and end of a request
  *  [SECTION] Stages     stage tasks of this gateway's requests, and the queues that this gateway owns
  *  [SECTION] Peers      messages between gateways
+ *  [SECTION] Long prompts  which replicas read long prompts
  *  [SECTION] Crashes    requests and prompt parts that crash replicas
  *  [SECTION] Cold       permits for requests to cold replicas
  *  [SECTION] Store      client of the key-value store
@@ -110,6 +111,7 @@
     int m_running = 0; ///< open attempts of callers' requests
     int64_t m_pendingTokens = 0;
     double m_latency = 0; ///< exponential moving average, seconds; 0: not measured yet
+    SpeedEstimate m_speed; ///< reported by the replica, or learned from the first events of an engine
     double m_failureRate = 0; ///< exponential moving average of failed attempts, 0 to 1
     int m_failures = 0; ///< consecutive
     TimePoint m_suspectedUntil;
@@ -144,6 +146,14 @@
 void dropCall(Gateway &gateway, uint64_t number);
 /** The answer to @p call as far as it was received. Its state is never Body or Done for a message that is not the answer. */
 HttpReader &answerReader(UpstreamCall &call);
+/** Learns the speed that an answer reports, if there is one. */
+void observeSpeedHeader(Gateway &gateway, const std::string &replica, const HttpHeaders &headers);
+/** Whether the speed of the engines that @p exchange may be sent to is learned and used. */
+bool learnsEngineSpeed(const Gateway &gateway, const Exchange &exchange);
+/** Expected time of work at a replica of a plain service, relative to its mean latency, or to the usual one while that is unknown. */
+double plainSpeedRatio(const Upstream &upstream, TimePoint now);
+/** Learns the speed of an engine from the first event of a stream. */
+void observeFirstEvent(Gateway &gateway, Exchange &exchange, Duration time);
 /** Updates the upstreams from the registry. */
 void syncUpstreams(Gateway &gateway);
 void closeIdleUpstreams(Gateway &gateway);
@@ -212,6 +222,9 @@
     bool m_began = false; ///< the replica has begun to answer: an event or a whole answer was received
     bool m_countsTokens = false; ///< the prompt is included in the replica's m_pendingTokens
     std::string m_partialEvent; ///< bytes of an incomplete event
+    std::optional<int64_t> m_uncachedTokens; ///< that the replica is expected to read, when its speed is learned
+    int m_runningBefore = 0; ///< requests of this gateway at the replica when the attempt began
+    std::optional<TimePoint> m_longUntil; ///< while a long prompt is read: expected end
 };
 
 /** A caller's request, from the arrival of its last byte until it has been answered. */
@@ -374,6 +387,7 @@
     Configuration,
     Subscribe,
     Relay,
+    LongPrompts,
     Count
 };
 
@@ -412,8 +426,8 @@
     int64_t m_workUs = 0; ///< submit: expected time from the start of the stage to the answer, microseconds
     std::string m_failureDomain;
     uint8_t m_reason = 0;
-    std::vector<uint64_t> m_requests; ///< crash, cleared and refused: digests of requests
-    std::vector<uint64_t> m_parts; ///< crash, cleared and refused: ids of prompt parts
+    std::vector<uint64_t> m_requests; ///< crash, cleared and refused: digests of requests; long prompts: times left, microseconds
+    std::vector<uint64_t> m_parts; ///< crash, cleared and refused: ids of prompt parts; long prompts: hashes of replica and incarnation
     std::vector<uint64_t> m_answeredParts; ///< crash: those of m_parts that replicas have answered before
     int64_t m_era = 0; ///< era of m_revision, or the era of the store that the sender knows
     std::string m_state; ///< revision, state and configuration: an encoded StoreState, see gateway_era.cpp
@@ -473,6 +487,29 @@
 /** Pings quiet peers that have open tasks of this gateway, and drops those that time out. */
 void checkPeers(Gateway &gateway);
 
+//-----------------------------------------------------------------------------
+// [SECTION] Long prompts
+//-----------------------------------------------------------------------------
+
+struct LongPromptState {
+    LongPromptReports m_reports;
+    TimePoint m_reportedAt; ///< last report of this gateway
+    NetTimer m_timer; ///< until the next report may be sent
+    uint64_t m_placed = 0; ///< long prompts of this gateway
+    uint64_t m_moved = 0; ///< of these, placed at another replica because of reports
+    uint64_t m_sent = 0; ///< reports, each to all other gateways
+    uint64_t m_received = 0;
+    uint64_t m_dropped = 0; ///< reports that are malformed or of too many gateways
+};
+
+/** Places a long prompt with what other gateways report; nothing when the prompt is not long or the part is off. */
+std::optional<size_t>
+placeLongPrompt(Gateway &gateway, const Exchange &exchange, std::vector<ReplicaView> &views, const PlacementRequest &request);
+/** Reports the prompt of an attempt that begins, if its replica has to read a long one. */
+void noteLongPrompt(Gateway &gateway, Exchange &exchange);
+/** Handles a message of kind LongPrompts. */
+void handleLongPrompts(Gateway &gateway, const std::string &node, const PeerMessage &message);
+
 //-----------------------------------------------------------------------------
 // [SECTION] Crashes
 //-----------------------------------------------------------------------------
@@ -724,6 +761,9 @@
     std::map<uint64_t, Submission> m_submissions;
     std::map<std::string, std::unique_ptr<OwnedQueue>> m_queues; ///< by service
     std::list<PeerLink> m_peers;
+    LongPromptState m_longPrompts;
+    std::map<std::string, SpeedBaseline> m_speedBaselines; ///< by service of engines
+    uint64_t m_invalidSpeeds = 0; ///< reported speeds that were ignored
 
     bool m_draining = false;
     TimePoint m_drainStartedAt;
--- a/src/gateway_peers.cpp
+++ b/src/gateway_peers.cpp
@@ -191,6 +191,9 @@
     case PeerKind::Relay:
         handleRelay(gateway, message);
         return;
+    case PeerKind::LongPrompts:
+        handleLongPrompts(gateway, link.m_node, message);
+        return;
     case PeerKind::Pong:
     case PeerKind::Count:
         return;
--- a/src/serving.h
+++ b/src/serving.h
@@ -10,11 +10,13 @@
  *  [SECTION] Registry       the registered replicas, from the events of the key-value store
  *  [SECTION] Membership     the live gateways and the owner of each service's queue
  *  [SECTION] Relays         answers of the watch that a few gateways pass on to the others
+ *  [SECTION] Speed          how long work takes at a replica at this moment
  *  [SECTION] Plan           the stages of one request and which of them can be submitted
  *  [SECTION] Stage queue    batching of pieces for the replicas of a stage service
  *  [SECTION] Start          whether a request is refused on arrival
  *  [SECTION] Placement      choice of the replica for a request
  *  [SECTION] Cold replicas  limits on the requests to replicas that have just started
+ *  [SECTION] Long prompts   which replicas read long prompts, told between gateways
  *  [SECTION] Retries        the retry budget and the step after a failed attempt
  *  [SECTION] Connections    when connections to replicas are opened, and which are used again
  *  [SECTION] Crashes        requests and prompt parts that crash replicas
@@ -46,6 +48,9 @@
 // [SECTION] Settings
 //-----------------------------------------------------------------------------
 
+/** Whether gateways keep long prompts apart, see separatesLongPrompts(). */
+enum class LongPromptMode : uint8_t { Auto, On, Off };
+
 /** Settings of one gateway. Filled by parseGatewaySettings(). */
 struct GatewaySettings {
     std::string m_node;
@@ -67,6 +72,7 @@
     /** With m_coldSlack, the limit on requests to cold replicas, see coldLimits(). There is none when one of them is absent. */
     std::optional<double> m_coldOverrun;
     std::optional<double> m_coldSlack;
+    LongPromptMode m_longPrompts = LongPromptMode::Auto;
     LogLevel m_logLevel = LogLevel::Info;
 
     bool operator==(const GatewaySettings &) const = default;
@@ -445,6 +451,58 @@
  */
 RelayStep decideRelay(const StoreVersion &known, const StoreVersion &from, const StoreVersion &asOf);
 
+//-----------------------------------------------------------------------------
+// [SECTION] Speed
+//-----------------------------------------------------------------------------
+
+/**
+ * How long work takes at one incarnation of a replica, relative to what is usual: 2 is twice as long. Without observations 1.
+ * A default-constructed estimate replaces that of a previous incarnation.
+ */
+struct SpeedEstimate {
+    double m_mean = 1; ///< moving mean of the observed ratios
+    int m_samples = 0; ///< up to MaxSpeedSamples
+    TimePoint m_observedAt; ///< last observation
+    double m_latest = 1; ///< the last ratio that the replica itself has reported
+    std::optional<TimePoint> m_reportedAt;
+};
+
+constexpr int MaxSpeedSamples = 10; ///< the moving mean covers about this many observations
+constexpr double MinSpeedRatio = 0.1; ///< lower and higher ratios are implausible
+constexpr double MaxSpeedRatio = 20;
+/** A report loses weight with this time constant: the speed of a machine changes up to ten times a second. */
+constexpr Duration SpeedReportMemory = milliseconds(100);
+constexpr Duration SpeedMeanMemory = seconds(10); ///< the mean loses weight with this time constant after the last observation
+
+struct SpeedValue {
+    double m_ratio = 1; ///< expected at this moment
+    double m_deviation = 1; ///< m_ratio relative to the moving mean
+    Duration m_age = Duration::max(); ///< since the last observation
+};
+
+/** Records a ratio that a replica has reported. @return false when it is implausible and was ignored. */
+bool observeReportedSpeed(SpeedEstimate &estimate, double ratio, TimePoint now);
+/** Records a ratio that follows from a time measured here, which includes noise, so that it changes the mean only. */
+void observeMeasuredSpeed(SpeedEstimate &estimate, double ratio, TimePoint now);
+/**
+ * The estimate at @p now. A fresh report counts in full, an older one less and less, so that what 91 to 295 gateways have read
+ * at different times is not all followed: each reads a replica's report about once a second.
+ */
+SpeedValue estimateSpeed(const SpeedEstimate &estimate, TimePoint now);
+
+/** Moving mean of the measured over the expected times of all engine replicas of a service; the speed of each is relative to it. */
+struct SpeedBaseline {
+    double m_mean = 1;
+    int m_samples = 0;
+};
+
+/**
+ * Ratio of the time to a first event to the time that the prior expects, relative to other replicas of the service; updates
+ * @p baseline. Sized for 5 requests per second and gateway, on 112 replicas.
+ * @param running requests of this gateway at the replica when the prompt was sent
+ */
+double measureFirstEvent(SpeedBaseline &baseline, int64_t uncachedTokens, int running, Duration time);
+
 //-----------------------------------------------------------------------------
 // [SECTION] Plan
 //-----------------------------------------------------------------------------
@@ -578,6 +636,7 @@
     TimePoint m_pausedUntil; ///< gets no calls before, after a failure or a rejection, or as the replica asked for
     int m_failures = 0; ///< consecutive failed calls
     double m_callTimeRatio = 1; ///< moving mean of observed over expected call time; above 1: slower than expected
+    SpeedEstimate m_speed; ///< as the replica reports it
     TimePoint m_sharedUntil; ///< other gateways were observed to send calls there, so the replica's order of calls is unknown
 };
 
@@ -662,6 +721,8 @@
 void observeCapacityRefusal(StageQueue &queue, const StageCall &call, size_t completed, TimePoint now);
 /** Records the number of calls that the replica reports as running or queued, without the one that has just ended. */
 void observeLoad(StageQueue &queue, const StageCall &call, int calls, TimePoint now);
+/** Records the speed that a replica reports; its calls are expected to take longer or shorter than by m_callTimeRatio. */
+void observeWorkerSpeed(StageQueue &queue, const std::string &id, double ratio, TimePoint now);
 /** Plans no calls to a replica before @p until. */
 void pauseWorker(StageQueue &queue, const std::string &id, TimePoint until);
 /** Removes a call. Call it after completePiece() or failPiece() for each of its pieces. */
@@ -723,6 +784,8 @@
     int m_running = 0; ///< requests of this gateway
     int64_t m_pendingTokens = 0; ///< prompt tokens of this gateway's requests that are not answered yet
     double m_latency = 0; ///< moving mean of observed latencies, seconds; 0: unknown
+    double m_speedRatio = 1; ///< time that work takes, relative to m_latency or to the prior of engines
+    double m_longPromptSeconds = 0; ///< time that it still reads long prompts of other gateways
     bool m_suspected = false; ///< it failed recently
     bool m_tried = false; ///< an earlier attempt at this request failed there
     double m_connectionCost = 0; ///< seconds, see connectionCost()
@@ -732,17 +795,79 @@
     std::vector<PromptPart> m_parts; ///< empty for a plain request
     std::string m_callerDomain; ///< failure domain of this gateway
     BytesByDomain m_inputBytes; ///< results that the request reads
+    bool m_spreadsTies = false; ///< replicas of equal cost are chosen by rendezvous hashing, not in the order of their ids
 };
 
-/** Index of the replica with the lowest expected cost; nothing when @p replicas is empty. */
+/**
+ * Index of the replica with the lowest expected cost; nothing when @p replicas is empty. When speeds are known, the cheaper of two
+ * random ones among those of about the lowest cost, so that 8 to 295 gateways that know the same speeds don't all choose one replica.
+ */
 std::optional<size_t> placePlain(const std::vector<ReplicaView> &replicas, const PlacementRequest &request, Random &random);
-/** As placePlain(), for replicas that cache prompt parts. */
+/**
+ * As placePlain(), for replicas that cache prompt parts. Waiting for long prompts of other gateways is weighed like waiting for
+ * those of this one.
+ */
 std::optional<size_t> placePrompt(const std::vector<ReplicaView> &replicas, const PlacementRequest &request);
 /**
  * Index of the replica that is expected to have the shared parts of a prompt cached: rendezvous hashing on the last
  * shared part, the same at all gateways.
  */
 std::optional<size_t> homeReplica(const std::vector<ReplicaView> &replicas, const std::vector<PromptPart> &parts);
+/** Tokens of a prompt that a replica is expected to read: all, without the shared parts at the home replica. */
+int64_t expectedUncachedTokens(const std::vector<PromptPart> &parts, bool isHome);
+/** Time to read @p tokens by the prior of all engines, for a replica whose speed is not known. */
+Duration priorReadTime(int64_t tokens);
+
+//-----------------------------------------------------------------------------
+// [SECTION] Long prompts
+//-----------------------------------------------------------------------------
+
+/** Prompts with at least this many tokens to read are long: 8 chunks of 2,048 tokens, about 100 to 150 ms. */
+constexpr int64_t MinLongPromptTokens = 16'384;
+/** Automatic mode separates long prompts at services with an objective for gaps up to this, as reading one takes 350 to 490 ms. */
+constexpr Duration MaxLongPromptGap = milliseconds(500);
+constexpr Duration LongPromptReportLifetime = milliseconds(1000); ///< reports of a silent gateway expire after this
+/** Between two reports of a gateway; with MaxReportedLongPrompts it limits them to 1 KB/s to a peer. */
+constexpr Duration MinLongPromptReportInterval = milliseconds(250);
+constexpr size_t MaxReportedLongPrompts = 3; ///< of one gateway in one report; those that end last are reported
+constexpr size_t MaxLongPromptReporters = 1024; ///< reports of more gateways are dropped
+
+/** A long prompt that a replica reads. */
+struct LongPrompt {
+    uint64_t m_replica = 0; ///< hash of the replica and its incarnation
+    TimePoint m_endsAt; ///< expected end of reading it
+
+    bool operator==(const LongPrompt &) const = default;
+};
+
+/** The latest reports of other gateways. */
+struct LongPromptReports {
+    struct Report {
+        TimePoint m_expiresAt;
+        std::vector<LongPrompt> m_prompts;
+    };
+    std::map<std::string, Report> m_byNode;
+};
+
+std::optional<LongPromptMode> parseLongPromptMode(std::string_view text);
+/**
+ * Whether long prompts are kept apart at @p service: in automatic mode if it is a pool of engines, and the tightest objective for
+ * gaps among its routes is at most MaxLongPromptGap.
+ */
+bool separatesLongPrompts(const ServingConfiguration &configuration, const std::string &service, LongPromptMode mode);
+/** Replaces what @p node has reported. @return false when the report was dropped, as too many gateways report. */
+bool applyLongPromptReport(LongPromptReports &reports, const std::string &node, std::vector<LongPrompt> prompts, TimePoint now);
+/** Removes the reports that have expired. @return how many. */
+size_t expireLongPromptReports(LongPromptReports &reports, TimePoint now);
+/**
+ * Time that each replica still reads long prompts of other gateways, in seconds; replicas that read none are left out. Sized for
+ * 28 long prompts per second at 112 replicas, read in 350 to 490 ms each, and for 3 times as many in a burst.
+ */
+std::unordered_map<uint64_t, double> longPromptSeconds(const LongPromptReports &reports, TimePoint now);
+/** Whether a prompt is long wherever it is placed: its home replica has to read MinLongPromptTokens or more as well. */
+bool isLongPrompt(const std::vector<PromptPart> &parts);
+/** The prompts of one report: at most MaxReportedLongPrompts, those that end last. */
+std::vector<LongPrompt> selectLongPrompts(std::vector<LongPrompt> prompts, TimePoint now);
 
 //-----------------------------------------------------------------------------
 // [SECTION] Cold replicas
--- a/src/serving_configuration.cpp
+++ b/src/serving_configuration.cpp
@@ -49,6 +49,13 @@
     readInteger(reader, "min_lease_ms", settings.m_minLeaseMs, 1, 600'000);
     readOptionalNumber(reader, "cold_overrun", settings.m_coldOverrun, MaxColdOverrun);
     readOptionalNumber(reader, "cold_slack", settings.m_coldSlack, MaxColdSlack);
+    std::string longPrompts = "auto";
+    readString(reader, "long_prompts", longPrompts, false, MaxSettingBytes);
+    if (const std::optional<LongPromptMode> parsed = parseLongPromptMode(longPrompts)) {
+        settings.m_longPrompts = *parsed;
+    } else {
+        addFinding(reader, "long_prompts", "is not auto, on or off");
+    }
     std::string level = "info";
     readString(reader, "log_level", level, false, MaxSettingBytes);
     if (const std::optional<LogLevel> parsed = parseLogLevel(level)) {
