--- a/src/net.h
+++ b/src/net.h
@@ -103,8 +103,8 @@
 };
 
 enum class CloseCause : uint8_t {
-    End, ///< the peer finished sending
-    Reset, ///< an error, also a failed handshake
+    End, ///< the peer finished sending, after everything written to it was passed to the system
+    Reset, ///< an error, also a failed handshake or write
 };
 
 /**
@@ -137,6 +137,7 @@
     void startReading();
     void applyOptions();
     void finish(CloseCause cause, absl::Status status);
+    [[nodiscard]] int endError() const;
     void flushPending();
     void shutdownWhenDrained();
     static void onAlloc(uv_handle_t *handle, size_t suggested, uv_buf_t *buffer);
@@ -149,6 +150,7 @@
     NetTimer m_connectTimer;
     std::string m_pending; ///< written before the handshake ended
     size_t m_queued = 0; ///< bytes in write requests
+    bool m_writeFailed = false; ///< a write took the error of the socket, which the read side then no longer sees
     bool m_connected = false;
     bool m_closing = false;
     bool m_closeAfterWrites = false;
--- a/src/net_http.cpp
+++ b/src/net_http.cpp
@@ -23,6 +23,9 @@
     "expect",
 };
 
+constexpr unsigned MinStatus = 100;
+constexpr unsigned MaxStatus = 599;
+
 HttpReader &readerOf(http_parser *parser)
 {
     return *static_cast<HttpReader *>(parser->data);
@@ -254,6 +257,12 @@
         self.m_state = ParseState::Failed;
         return -1;
     }
+    // RFC 9110, 15: other numbers are no status, so what follows is no answer.
+    const bool isStatus = parser->status_code >= MinStatus && parser->status_code <= MaxStatus;
+    if (self.m_type == HTTP_RESPONSE && !isStatus) {
+        self.m_state = ParseState::Failed;
+        return -1;
+    }
     self.m_state = ParseState::Body;
     self.m_status = parser->status_code;
     self.m_keepAlive = http_should_keep_alive(parser) != 0;
--- a/src/net_loop.cpp
+++ b/src/net_loop.cpp
@@ -256,8 +256,7 @@
         return;
     }
     if (count < 0) {
-        // libuv reports the end of the stream when the poll says that the peer hung up, also after a reset.
-        const int error = count == UV_EOF ? pendingError(self->m_tcp) : static_cast<int>(count);
+        const int error = count == UV_EOF ? self->endError() : static_cast<int>(count);
         self->finish(error == 0 ? CloseCause::End : CloseCause::Reset, error == 0 ? absl::OkStatus() : toStatus(error, "read"));
         return;
     }
@@ -266,6 +265,17 @@
     }
 }
 
+/**
+ * The error that the end of the received stream stands for; 0 for an orderly end. libuv reports the end also after a reset, when
+ * the poll says that the peer hung up or when a failed write took the error. A peer that ends while data is still queued has
+ * not read all of it, so what it sent may have been cut.
+ */
+int NetConnection::endError() const
+{
+    const int error = pendingError(m_tcp);
+    return error == 0 && (m_writeFailed || m_queued > 0) ? UV_ECONNRESET : error;
+}
+
 void NetConnection::flushPending()
 {
     if (!m_pending.empty()) {
@@ -288,7 +298,8 @@
     if (m_queued == 0) {
         uv_buf_t buffer = uv_buf_init(data.data(), static_cast<unsigned>(data.size()));
         const int result = uv_try_write(stream, &buffer, 1);
-        // An error is also seen by the read side, which ends the connection.
+        // The read side ends the connection after an error.
+        m_writeFailed = m_writeFailed || (result < 0 && result != UV_EAGAIN);
         written = result > 0 ? static_cast<size_t>(result) : 0;
     }
     if (written == data.size()) {
@@ -303,13 +314,15 @@
     pending->m_request.data = pending;
     m_queued += pending->m_size;
     uv_buf_t buffer = uv_buf_init(pending->m_data.data(), static_cast<unsigned>(pending->m_size));
-    const int code = uv_write(&pending->m_request, stream, &buffer, 1, [](uv_write_t *request, int /*status*/) {
+    const int code = uv_write(&pending->m_request, stream, &buffer, 1, [](uv_write_t *request, int status) {
         const std::unique_ptr<Write> done(static_cast<Write *>(request->data));
         auto *self = static_cast<NetConnection *>(request->handle->data);
         self->m_queued -= done->m_size;
+        self->m_writeFailed = self->m_writeFailed || status != 0;
         self->shutdownWhenDrained();
     });
     if (code != 0) {
+        m_writeFailed = true;
         m_queued -= pending->m_size;
         delete pending;
     }
--- a/tests/test_gateway_faults.cpp
+++ b/tests/test_gateway_faults.cpp
@@ -40,6 +40,9 @@
     CPPUNIT_TEST(slowCallersGetWholeAnswersAtShutdown);
     CPPUNIT_TEST(missingStageResultsAreRetriedWithinTheBudget);
     CPPUNIT_TEST(failsAnswerThatStopsInItsHead);
+    CPPUNIT_TEST(failsAnswersWithAnInvalidStatus);
+    CPPUNIT_TEST(failedWriteDoesNotHideAReset);
+    CPPUNIT_TEST(endBeforeTheRequestIsWrittenIsNoEndOfAnAnswer);
     CPPUNIT_TEST(abortsUnframedStreamThatEndsInsideAnEvent);
     CPPUNIT_TEST(dropsHalfAnEventWithItsAttempt);
     CPPUNIT_TEST(replicaThatReportsLeavingGetsNoMoreRequests);
@@ -809,6 +812,105 @@
         CPPUNIT_ASSERT_EQUAL(size_t(1), replica.m_requests.size());
     }
 
+    // Guards against an answer with a status outside 100 to 599, such as 000, that the caller gets as an answer.
+    void failsAnswersWithAnInvalidStatus()
+    {
+        GatewayHarness harness;
+        FakeServer replica;
+        std::string status;
+        replica.start(harness.m_loop, [&status](FakeServer &, const std::shared_ptr<ReceivedRequest> &request) {
+            const std::string id(findHeader(request->m_request.m_headers, "X-Attempt-Id").value_or(""));
+            reply(request,
+                  fmt::format("HTTP/1.1 {} Status\r\nX-Attempt-Id: {}\r\nX-Replica-Seal: s\r\nContent-Length: 4\r\n\r\npart", status, id));
+        });
+        const GatewayHarness::Process &gateway = startServing(harness, {{"i-1", "plain", &replica}, {"i-2", "model", &replica}});
+        for (const char *target : {"/plain/1", "/stream/1"}) {
+            for (const char *invalid : {"000", "099", "600", "999"}) {
+                status = invalid;
+                const Caller &caller = ask(harness, gateway, "POST", target, fmt::format("{}-{}", target, invalid));
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(fmt::format("{} {}: {}", target, invalid, caller.m_raw), 502, caller.m_reader.m_status);
+            }
+        }
+    }
+
+    /** A listening socket whose connections the test accepts itself, so that it decides what is received at which moment. */
+    struct RawListener {
+        int m_socket = socket(AF_INET, SOCK_STREAM, 0);
+        sockaddr_in m_address{};
+
+        RawListener()
+        {
+            m_address.sin_family = AF_INET;
+            m_address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+            socklen_t size = sizeof m_address;
+            CPPUNIT_ASSERT_EQUAL(0, bind(m_socket, reinterpret_cast<const sockaddr *>(&m_address), sizeof m_address));
+            CPPUNIT_ASSERT_EQUAL(0, listen(m_socket, 1));
+            CPPUNIT_ASSERT_EQUAL(0, getsockname(m_socket, reinterpret_cast<sockaddr *>(&m_address), &size));
+        }
+        ~RawListener()
+        {
+            close(m_socket);
+        }
+        RawListener(const RawListener &) = delete;
+        RawListener &operator=(const RawListener &) = delete;
+    };
+
+    /** Writes an upload to a peer that sends @p answer at once and then ends the connection. @return how the connection ended. */
+    static CloseCause endOfUpload(const std::string &answer, bool isReset)
+    {
+        Clock clock;
+        NetLoop loop;
+        initLoop(loop, clock);
+        const RawListener listener;
+        std::optional<CloseCause> cause;
+        std::string received;
+        NetConnection *connection = NetConnection::connect(loop, {"127.0.0.1", ntohs(listener.m_address.sin_port)}, {});
+        connection->m_onData = [&received](std::string_view data) { received += data; };
+        connection->m_onClose = [&cause](CloseCause closeCause, const absl::Status &) { cause = closeCause; };
+        bool isConnected = false;
+        connection->m_onConnect = [&isConnected] { isConnected = true; };
+        const TimePoint limit = now(clock) + WaitLimit;
+        const auto runUntil = [&](const std::function<bool()> &condition) {
+            while (!condition() && now(clock) < limit) {
+                NetTimer wake;
+                wake.start(loop, milliseconds(5), [] {});
+                uv_run(&loop.m_loop, UV_RUN_ONCE);
+            }
+        };
+        runUntil([&isConnected] { return isConnected; });
+        const int peer = accept(listener.m_socket, nullptr, nullptr);
+        CPPUNIT_ASSERT_EQUAL(static_cast<ssize_t>(answer.size()), ::send(peer, answer.data(), answer.size(), 0));
+        if (isReset) {
+            const linger discard{1, 0};
+            setsockopt(peer, SOL_SOCKET, SO_LINGER, &discard, sizeof discard);
+            close(peer);
+        } else {
+            shutdown(peer, SHUT_WR);
+        }
+        connection->write(std::string(size_t{16} * 1024 * 1024, 'u'));
+        runUntil([&cause] { return cause.has_value(); });
+        if (!isReset) {
+            close(peer);
+        }
+        closeLoop(loop);
+        CPPUNIT_ASSERT_EQUAL(answer, received);
+        CPPUNIT_ASSERT(cause.has_value());
+        return *cause;
+    }
+
+    // Guards against a reset that is taken for the end of an answer without a length: a write that fails takes the socket's error,
+    // so that the read that follows finds the end of the stream.
+    void failedWriteDoesNotHideAReset()
+    {
+        CPPUNIT_ASSERT(endOfUpload("part of an answer", true) == CloseCause::Reset);
+    }
+
+    // Guards against part of an answer without a length that is taken for the whole, as its peer went away without reading the request.
+    void endBeforeTheRequestIsWrittenIsNoEndOfAnAnswer()
+    {
+        CPPUNIT_ASSERT(endOfUpload("part of an answer", false) == CloseCause::Reset);
+    }
+
     /** How an attempt ends after half an event: bytes that follow it, and what happens to the connection then. */
     struct HalfEventEnd {
         std::string m_bytes;
