--- a/tests/test_cold.cpp
+++ b/tests/test_cold.cpp
@@ -357,7 +357,7 @@
     CPPUNIT_TEST_SUITE_END();
 
 #if defined(__SANITIZE_THREAD__) || defined(__SANITIZE_ADDRESS__)
-    static constexpr uint64_t Seeds = 5; // the simulation takes hours for all seeds in these builds; the ordinary one plays them
+    static constexpr uint64_t Seeds = 5; // one thread runs the simulation; the ordinary build plays all seeds
 #else
     static constexpr uint64_t Seeds = 200;
 #endif
