--- a/src/serving_relay.cpp
+++ b/src/serving_relay.cpp
@@ -61,6 +61,7 @@
         return {};
     }
     std::vector<ScoredNode> nodes;
+    nodes.reserve(watchers.size());
     for (const std::string &node : watchers) {
         nodes.push_back({rendezvousScore(node, self, membership.m_members.at(node).m_weight), node});
     }
--- a/tests/test_relay.cpp
+++ b/tests/test_relay.cpp
@@ -184,9 +184,8 @@
         harness.m_store.put("op/config", configuration(1).dump());
         harness.m_store.putReplica("i-1", "plain", replica.address());
         addMembers(harness.m_store, 1e-6);
-        std::vector<const GatewayHarness::Process *> gateways;
         for (int i = 0; i < 6; ++i) {
-            gateways.push_back(&harness.startGateway(fmt::format("w{}", i)));
+            harness.startGateway(fmt::format("w{}", i));
         }
         // Too small a VM to watch for others.
         const GatewayHarness::Process &follower = harness.startGateway("f", 8000, {{"processor_share", 0.01}});
