--- a/review/world-2.h
+++ b/review/world-2.h
@@ -274,8 +274,10 @@
     return text;
 }
 
-/** A store without disruption. Values are kept as base64 text. */
+/** A store that keeps 20 s of history, and that can be down: it then answers 503. Values are kept as base64 text. */
 struct Store {
+    static constexpr int64_t HistoryMs = 20'000;
+
     struct Item {
         std::string m_value;
         int64_t m_revision = 0;
@@ -285,6 +287,7 @@
         std::string m_key;
         Item m_item;
         bool m_removed = false;
+        int64_t m_atMs = 0;
     };
 
     std::mutex m_mutex;
@@ -294,13 +297,28 @@
     std::vector<Event> m_events;
     int64_t m_revision = 1;
     int64_t m_nextLease = 100;
+    int64_t m_forgotten = 0; ///< revisions up to this one are no longer in the history
+    bool m_isDown = false; ///< calls get 503; operators and replicas still reach it
+    int64_t m_largestAnswer = 0; ///< bytes
+
+    void setDown(bool isDown)
+    {
+        const std::lock_guard lock(m_mutex);
+        m_isDown = isDown;
+        m_changed.notify_all();
+    }
 
     void start()
     {
         serve(m_address, [this](Stream &stream) {
             while (const std::optional<Message> request = stream.read()) {
                 const auto [status, body] = answer(*request);
-                if (!stream.send(formatAnswer(status, "Content-Type: application/json\r\n", body.dump()))) {
+                const std::string text = body.dump();
+                {
+                    const std::lock_guard lock(m_mutex);
+                    m_largestAnswer = std::max(m_largestAnswer, static_cast<int64_t>(text.size()));
+                }
+                if (!stream.send(formatAnswer(status, "Content-Type: application/json\r\n", text))) {
                     return;
                 }
             }
@@ -317,14 +335,14 @@
     void write(const std::string &key, const std::string &value, int64_t lease)
     {
         m_items[key] = {value, ++m_revision, lease};
-        m_events.push_back({key, m_items[key], false});
+        m_events.push_back({key, m_items[key], false, nowMs()});
         m_changed.notify_all();
     }
 
     void remove(const std::string &key)
     {
         m_items.erase(key);
-        m_events.push_back({key, {"", ++m_revision, 0}, true});
+        m_events.push_back({key, {"", ++m_revision, 0}, true, nowMs()});
         m_changed.notify_all();
     }
 
@@ -333,9 +351,16 @@
         return {{"key", key}, {"value", item.m_value}, {"revision", item.m_revision}, {"created", item.m_revision}, {"lease", item.m_lease}};
     }
 
-    json watch(std::unique_lock<std::mutex> &lock, int64_t after, int64_t waitMs)
+    std::pair<int, json> watch(std::unique_lock<std::mutex> &lock, int64_t after, int64_t waitMs)
     {
-        m_changed.wait_for(lock, std::chrono::milliseconds(waitMs), [&] { return m_revision > after; });
+        m_changed.wait_for(lock, std::chrono::milliseconds(waitMs), [&] { return m_revision > after || m_isDown; });
+        while (!m_events.empty() && m_events.front().m_atMs < nowMs() - HistoryMs) {
+            m_forgotten = m_events.front().m_item.m_revision;
+            m_events.erase(m_events.begin());
+        }
+        if (m_isDown || after < m_forgotten) {
+            return {m_isDown ? 503 : 410, json::object()};
+        }
         json events = json::array();
         for (const Event &event : m_events) {
             if (event.m_item.m_revision > after) {
@@ -343,7 +368,7 @@
                                                  : describe(event.m_key, event.m_item));
             }
         }
-        return {{"events", events}, {"as_of", m_revision}};
+        return {200, {{"events", events}, {"as_of", m_revision}}};
     }
 
     std::pair<int, json> answer(const Message &request)
@@ -351,6 +376,9 @@
         const size_t space = request.m_first.find(' ');
         const std::string target = request.m_first.substr(space + 1, request.m_first.rfind(' ') - space - 1);
         std::unique_lock lock(m_mutex);
+        if (m_isDown) {
+            return {503, json::object()};
+        }
         if (target.find("/-/kv-range") == 0) {
             const std::string prefix = parameter(target, "prefix");
             json entries = json::array();
@@ -362,7 +390,7 @@
             return {200, {{"entries", entries}, {"more_pages", false}, {"as_of", m_revision}}};
         }
         if (target.find("/-/kv-watch") == 0) {
-            return {200, watch(lock, std::stoll(parameter(target, "after")), std::stoll(parameter(target, "wait_ms")))};
+            return watch(lock, std::stoll(parameter(target, "after")), std::stoll(parameter(target, "wait_ms")));
         }
         if (target == "/-/kv-lease") {
             return {200, {{"lease", m_nextLease++}, {"ttl_ms", json::parse(request.m_body).at("ttl_ms")}}};
