--- a/review/world-2.h
+++ b/review/world-2.h
@@ -24,6 +24,7 @@
 #include <optional>
 #include <poll.h>
 #include <string>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <thread>
@@ -277,6 +278,7 @@
 /** A store that keeps 20 s of history, and that can be down: it then answers 503. Values are kept as base64 text. */
 struct Store {
     static constexpr int64_t HistoryMs = 20'000;
+    static constexpr int Silent = 0; ///< in place of a status: no answer
 
     struct Item {
         std::string m_value;
@@ -299,6 +301,8 @@
     int64_t m_nextLease = 100;
     int64_t m_forgotten = 0; ///< revisions up to this one are no longer in the history
     bool m_isDown = false; ///< calls get 503; operators and replicas still reach it
+    int m_silences = 0; ///< how often the connections with a waiting watch went silent
+    int m_waiting = 0; ///< watches that wait now
     int64_t m_largestAnswer = 0; ///< bytes
 
     void setDown(bool isDown)
@@ -308,11 +312,25 @@
         m_changed.notify_all();
     }
 
+    /** Makes the connections on which a watch waits now silent for good; new ones work. @return their number */
+    int silenceWatches()
+    {
+        const std::lock_guard lock(m_mutex);
+        m_silences += 1;
+        return m_waiting;
+    }
+
     void start()
     {
         serve(m_address, [this](Stream &stream) {
             while (const std::optional<Message> request = stream.read()) {
                 const auto [status, body] = answer(*request);
+                if (status == Silent) {
+                    while (stream.fill()) {
+                        stream.m_buffer.clear();
+                    }
+                    return;
+                }
                 const std::string text = body.dump();
                 {
                     const std::lock_guard lock(m_mutex);
@@ -353,7 +371,13 @@
 
     std::pair<int, json> watch(std::unique_lock<std::mutex> &lock, int64_t after, int64_t waitMs)
     {
+        const int silences = m_silences;
+        m_waiting += 1;
         m_changed.wait_for(lock, std::chrono::milliseconds(waitMs), [&] { return m_revision > after || m_isDown; });
+        m_waiting -= 1;
+        if (m_silences != silences) {
+            return {Silent, json::object()};
+        }
         while (!m_events.empty() && m_events.front().m_atMs < nowMs() - HistoryMs) {
             m_forgotten = m_events.front().m_item.m_revision;
             m_events.erase(m_events.begin());
@@ -532,6 +556,7 @@
         const std::string log = folder + "/" + m_node + ".log";
         m_pid = fork();
         if (m_pid == 0) {
+            prctl(PR_SET_PDEATHSIG, SIGKILL); // also when this process is killed at its limit of time
             setenv("MEDLARRAMP_SETTINGS", m_settings.c_str(), 1);
             if (std::freopen(log.c_str(), "w", stderr) == nullptr) {
                 _exit(2);
@@ -593,10 +618,11 @@
 //-----------------------------------------------------------------------------
 
 /** What a client saw: the status, or 0 when the connection ended without an answer. */
-inline int request(Stream &stream, const std::string &path, const std::string &id, size_t bodyBytes, int deadlineMs)
+inline int
+request(Stream &stream, const std::string &path, const std::string &id, size_t bodyBytes, int deadlineMs, const std::string &headers = "")
 {
     const std::string head = "POST " + path + " HTTP/1.1\r\nHost: kiosk.example\r\nX-Attempt-Id: " + id
-        + "\r\nX-Deadline-Ms: " + std::to_string(deadlineMs) + "\r\nContent-Length: " + std::to_string(bodyBytes) + "\r\n\r\n";
+        + "\r\nX-Deadline-Ms: " + std::to_string(deadlineMs) + "\r\n" + headers + "Content-Length: " + std::to_string(bodyBytes) + "\r\n\r\n";
     stream.send(head + std::string(bodyBytes, 'b')); // an answer may come although sending fails
     const std::optional<Message> answer = stream.read();
     return answer ? std::atoi(answer->m_first.c_str() + std::strlen("HTTP/1.1 ")) : 0;
