--- a/review/world-2.h
+++ b/review/world-2.h
@@ -173,7 +173,7 @@
 
 inline int listenOn(Address &address)
 {
-    const int socket = ::socket(AF_INET, SOCK_STREAM, 0);
+    const int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     const int enable = 1;
     setsockopt(socket, SOL_SOCKET, SO_REUSEADDR, &enable, sizeof enable);
     sockaddr_in local = socketAddress(address);
@@ -197,7 +197,7 @@
 /** @return null when the connection is refused. */
 inline std::unique_ptr<Stream> connectTo(const Address &address)
 {
-    const int socket = ::socket(AF_INET, SOCK_STREAM, 0);
+    const int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     const sockaddr_in remote = socketAddress(address);
     if (::connect(socket, reinterpret_cast<const sockaddr *>(&remote), sizeof remote) != 0) {
         ::close(socket);
@@ -214,7 +214,7 @@
     const int listener = listenOn(address);
     std::thread([listener, handle = std::move(handle)] {
         while (true) {
-            const int socket = ::accept(listener, nullptr, nullptr);
+            const int socket = ::accept4(listener, nullptr, nullptr, SOCK_CLOEXEC);
             if (socket < 0) {
                 continue;
             }
