--- a/review/world-2.h
+++ b/review/world-2.h
@@ -52,7 +52,9 @@
     std::mutex m_mutex;
     std::ofstream m_file;
 
-    explicit Record(const std::string &path) : m_file(path) {}
+    explicit Record(const std::string &path) : m_file(path)
+    {
+    }
 
     void add(const std::string &line)
     {
@@ -76,7 +78,9 @@
     int m_socket = -1;
     std::string m_buffer;
 
-    explicit Stream(int socket) : m_socket(socket) {}
+    explicit Stream(int socket) : m_socket(socket)
+    {
+    }
     ~Stream()
     {
         if (m_socket >= 0) {
@@ -230,8 +234,7 @@
 
 inline std::string formatAnswer(int status, const std::string &headers, const std::string &body)
 {
-    return "HTTP/1.1 " + std::to_string(status) + " X\r\n" + headers + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n"
-        + body;
+    return "HTTP/1.1 " + std::to_string(status) + " X\r\n" + headers + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
 //-----------------------------------------------------------------------------
@@ -366,7 +369,8 @@
 
     static json describe(const std::string &key, const Item &item)
     {
-        return {{"key", key}, {"value", item.m_value}, {"revision", item.m_revision}, {"created", item.m_revision}, {"lease", item.m_lease}};
+        return {
+            {"key", key}, {"value", item.m_value}, {"revision", item.m_revision}, {"created", item.m_revision}, {"lease", item.m_lease}};
     }
 
     std::pair<int, json> watch(std::unique_lock<std::mutex> &lock, int64_t after, int64_t waitMs)
@@ -537,22 +541,22 @@
         Address peers;
         peers.m_port = freePort();
         m_settings = folder + "/" + m_node + ".json";
-        std::ofstream(m_settings) << json{{"node", m_node},
-                                          {"failure_domain", "z1"},
-                                          {"front", m_front.text()},
-                                          {"readiness", m_ready.text()},
-                                          {"peers", peers.text()},
-                                          {"store", store.m_address.text()},
-                                          {"processor_share", 0.25},
-                                          {"memory_mb", 260},
-                                          {"drain_ms", 8000},
-                                          {"heartbeat_ms", 1200},
-                                          {"leaving_ms", 2000},
-                                          {"repeat_ratio", 0.2},
-                                          {"repeat_extra", 58},
-                                          {"repeat_window_ms", 10000},
-                                          {"min_lease_ms", 1000}}
-                                         .dump();
+        std::ofstream(m_settings) << json{
+            {"node", m_node},
+            {"failure_domain", "z1"},
+            {"front", m_front.text()},
+            {"readiness", m_ready.text()},
+            {"peers", peers.text()},
+            {"store", store.m_address.text()},
+            {"processor_share", 0.25},
+            {"memory_mb", 260},
+            {"drain_ms", 8000},
+            {"heartbeat_ms", 1200},
+            {"leaving_ms", 2000},
+            {"repeat_ratio", 0.2},
+            {"repeat_extra", 58},
+            {"repeat_window_ms", 10000},
+            {"min_lease_ms", 1000}}.dump();
         const std::string log = folder + "/" + m_node + ".log";
         m_pid = fork();
         if (m_pid == 0) {
@@ -621,8 +625,8 @@
 inline int
 request(Stream &stream, const std::string &path, const std::string &id, size_t bodyBytes, int deadlineMs, const std::string &headers = "")
 {
-    const std::string head = "POST " + path + " HTTP/1.1\r\nHost: kiosk.example\r\nX-Attempt-Id: " + id
-        + "\r\nX-Deadline-Ms: " + std::to_string(deadlineMs) + "\r\n" + headers + "Content-Length: " + std::to_string(bodyBytes) + "\r\n\r\n";
+    const std::string head = "POST " + path + " HTTP/1.1\r\nHost: kiosk.example\r\nX-Attempt-Id: " + id + "\r\nX-Deadline-Ms: "
+        + std::to_string(deadlineMs) + "\r\n" + headers + "Content-Length: " + std::to_string(bodyBytes) + "\r\n\r\n";
     stream.send(head + std::string(bodyBytes, 'b')); // an answer may come although sending fails
     const std::optional<Message> answer = stream.read();
     return answer ? std::atoi(answer->m_first.c_str() + std::strlen("HTTP/1.1 ")) : 0;
