--- a/review/run-stand.sh
+++ b/review/run-stand.sh
@@ -3,7 +3,7 @@
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
 folder=$(cd "$1" && pwd) || exit 2
 cd "$folder/../.." || exit 2
-program=target/review-2/$(basename "$folder")
+program=target/review-2/case-$(basename "$folder")
 if [ ! -x "$program" ] || [ ! -x target/medlarramp ]; then
     echo "build the deploy file's programs and run review/build-2.sh first" >&2
     exit 2
--- a/review/stand.h
+++ b/review/stand.h
@@ -673,7 +673,7 @@
             {"host", "pule25.example"},
             {"prefix", prefix},
             {"kind", kind},
-            {"timeout_ms", 15000},
+            {"timeout_ms", 4000},
             {"target_latency_ms", 2000},
             {"priority", 1},
             {"service", service},
@@ -725,7 +725,7 @@
         Outcome outcome;
         const int64_t startedAt = nowMs();
         const std::string head = "POST " + path + " HTTP/1.1\r\nHost: pule25.example\r\nX-Attempt-Id: " + id
-            + "\r\nX-Deadline-Ms: 15000\r\nContent-Length: 4\r\n\r\nbody";
+            + "\r\nX-Deadline-Ms: 4000\r\nContent-Length: 4\r\n\r\nbody";
         m_isOpen = m_isOpen && sendAll(m_descriptor, head);
         std::string got;
         std::optional<size_t> whole;
