--- a/src/gateway_store.cpp
+++ b/src/gateway_store.cpp
@@ -766,6 +766,7 @@
                       handleLeaseFailure(gateway, status);
                       return;
                   }
+                  writeLog(LogLevel::Info, "store", "Member registered.", {{"lease", fmt::format("{}", gateway.m_store.m_lease)}});
                   observeColdLease(gateway.m_cold, leaseStartedAt, gateway.m_store.m_leaseLifetime, gatewayNow(gateway));
                   scheduleLease(gateway, LeaseRenewal);
               });
@@ -822,6 +823,11 @@
                       return;
                   }
                   if (status == HTTP_STATUS_NOT_FOUND) {
+                      writeLog(LogLevel::Warning,
+                               "store",
+                               "Lease has ended; requesting another.",
+                               {{"lease", fmt::format("{}", gateway.m_store.m_lease)},
+                                {"watch", gateway.m_store.m_watch.m_isParked ? "parked" : "open"}});
                       gateway.m_store.m_lease = 0;
                       loseColdLease(gateway.m_cold);
                       requestLease(gateway);
