--- a/tests/gateway_world.h
+++ b/tests/gateway_world.h
@@ -6,6 +6,7 @@
  * The gateways run as processes of the built program, so that tests can send them signals.
  */
 
+#include <algorithm>
 #include <climits>
 #include <csignal>
 #include <fstream>
@@ -163,7 +164,7 @@
     int64_t m_revision = 0;
 };
 
-/** Fake key-value store: listings in one page, watches that wait for changes, leases that only a restoration ends. */
+/** Fake key-value store: listings in one page, watches that wait for changes, leases that end when a test says so. */
 struct FakeStore {
     FakeServer m_server;
     std::map<std::string, std::pair<std::string, int64_t>> m_items; ///< value and revision by key
@@ -172,6 +173,7 @@
     bool m_isSilent = false; ///< no call is answered
     bool m_isHistoryGone = false; ///< the next watch is answered with 410
     bool m_losesWatches = false; ///< watch calls and answers to waiting ones get lost; all other calls are answered
+    std::optional<size_t> m_maxEvents; ///< most events in one answer to a watch; the rest follows in the next one
     std::optional<size_t> m_lostWatch; ///< index of the waiting watch whose answer to the next change gets lost
     std::map<std::string, std::pair<std::string, int64_t>> m_staleItems; ///< if any, what stale listings return
     std::vector<PendingWatch> m_watches;
@@ -198,6 +200,17 @@
         closeWatches();
     }
 
+    /** All leases end and the keys attached to them are removed. */
+    void lapseLeases()
+    {
+        m_leases.clear();
+        for (const auto &[key, lease] : std::exchange(m_itemLeases, {})) {
+            if (lease != 0 && m_items.contains(key)) {
+                remove(key);
+            }
+        }
+    }
+
     /** Ends the connections of all waiting watches without an answer. */
     void closeWatches()
     {
@@ -315,6 +328,14 @@
                 events.push_back({{"key", key}, {"revision", revision}, {"tombstone", true}});
             }
         }
+        if (m_maxEvents && events.size() > *m_maxEvents) {
+            std::sort(events.begin(), events.end(), [](const nlohmann::json &left, const nlohmann::json &right) {
+                return left.at("revision").get<int64_t>() < right.at("revision").get<int64_t>();
+            });
+            events.erase(events.begin() + static_cast<std::ptrdiff_t>(*m_maxEvents), events.end());
+            send(request, {{"events", events}, {"as_of", events.back().at("revision")}});
+            return;
+        }
         if (!events.empty()) {
             send(request, {{"events", events}, {"as_of", m_revision}});
             return;
@@ -355,13 +376,13 @@
                 put(write.at("key"), fromBase64(write.at("value").get<std::string>()).value_or(""));
             }
             send(request, {{"revision", m_revision}});
-        } else if (m_era && target.find("/-/kv-keep/") == 0) {
+        } else if (target.find("/-/kv-keep/") == 0) {
             const int64_t lease = std::stoll(target.substr(target.rfind('/') + 1));
             sendStatus(request, m_leases.contains(lease) ? 200 : 404, nlohmann::json{{"lease", lease}, {"ttl_ms", 4000}}.dump());
-        } else if (m_era && target == "/-/kv-lease") {
+        } else if (target == "/-/kv-lease") {
             send(request, {{"lease", grantLease()}, {"ttl_ms", 4000}});
         } else {
-            send(request, {{"lease", 7}, {"ttl_ms", 4000}});
+            send(request, nlohmann::json::object());
         }
     }
 };
