Regain the key-value store at its first answer, whichever call it answers

Callers saw 404 and 401 for routes and keys that had been in force for more than 2 s, from gateways that counted as in touch.

Cause: each call to the store decided by itself whether its end said that the store was back. Only a successful renewal, a listing and the watch said so. When leases had lapsed in the outage, the renewal got 404, and the grant and the registration after it succeeded, but the watch stayed parked until the next renewal 1.9 s later.

Change: the end of every call passes recordStoreReply(), where a pure decision (observeStoreReply) classifies it; callers have nothing to report any more. The first answer after failures resumes or replaces the watch. While the store is out of reach, no call waits for the first byte of an answer for longer than a renewal does, and a watch call asks for what is there and does not wait. Grants and registrations had 2 s.

--- a/src/gateway_internal.h
+++ b/src/gateway_internal.h
@@ -575,14 +575,10 @@
     bool m_isListed = false; ///< the watch follows full listings; not while they are read again
     bool m_wasListed = false; ///< full listings have been read since the start of the process
     bool m_isParked = false; ///< the last call failed; goes on when another call to the store has succeeded
-    bool m_isCurrent = false; ///< nothing calls for a confirmation, see noticePause()
-    bool m_isInterrupted = false; ///< a call has failed since the last answer
-    bool m_isProven = false; ///< the last call was answered without events, so that the next one may wait for long
+    WatchProgress m_progress;
     StoreVersion m_version; ///< the watch continues after this version
-    TimePoint m_answeredAt; ///< last answer of the store to the watch or its listings
     Duration m_wait{}; ///< how long the store was asked to wait in the last call
     TimePoint m_listStartedAt; ///< start of the first call of the listings
-    TimePoint m_nextEventsAt; ///< no call before, so that m_interval is kept
     size_t m_listing = 0; ///< index in StoreRanges of the listing that is read
     std::vector<Platform::StoreItem> m_page; ///< items of an incomplete listing
     std::optional<StoreVersion> m_listVersion; ///< version of the first page of the first listing
@@ -597,9 +593,7 @@
 struct StoreClient {
     SocketAddress m_address;
     StoreWatch m_watch;
-    bool m_available = false; ///< the last call succeeded
-    int m_failures = 0; ///< consecutive
-    bool m_hasLostAnswer = false; ///< a call got no answer since the store was last available
+    StoreContact m_contact;
     int64_t m_lease = 0; ///< lease id; 0: none
     Duration m_leaseLifetime{}; ///< as granted by the store
     NetTimer m_leaseTimer;
--- a/src/gateway_relay.cpp
+++ b/src/gateway_relay.cpp
@@ -66,7 +66,7 @@
     const TimePoint now = gatewayNow(gateway);
     const bool isWatcher = !gateway.m_relay.m_subscribers.empty() || relaySources(gateway.m_membership, now).empty();
     const TimePoint since = std::min(gateway.m_relay.m_receivedAt, gateway.m_relay.m_currentAt);
-    return watch.m_isListed && watch.m_isCurrent && !isWatcher && now - since < relayTimeout(gateway);
+    return watch.m_isListed && watch.m_progress.m_isCurrent && !isWatcher && now - since < relayTimeout(gateway);
 }
 
 void relayAnswer(Gateway &gateway, const StoreVersion &from, const Platform::StoreItems &events)
@@ -100,8 +100,8 @@
     const Duration age = watchAge(gateway);
     const Platform::StoreItems events = unknownChanges(message, watch.m_version);
     watch.m_version.advanceTo(asOf);
-    watch.m_answeredAt = gatewayNow(gateway);
-    gateway.m_relay.m_currentAt = watch.m_answeredAt;
+    watch.m_progress.m_answeredAt = gatewayNow(gateway);
+    gateway.m_relay.m_currentAt = watch.m_progress.m_answeredAt;
     applyEvents(gateway, events, age);
     observeColdView(gateway.m_cold, TimePoint(Duration(message.m_subscribedUs)), gatewayNow(gateway));
 }
--- a/src/gateway_requests.cpp
+++ b/src/gateway_requests.cpp
@@ -64,7 +64,7 @@
               {"age_ms", fmt::format("{}", age.count() / 1000)},
               {"version", fmt::format("{}", exchange.m_configuration ? exchange.m_configuration->m_version : 0)},
               {"store_age_ms", fmt::format("{}", watchAge(gateway).count() / 1000)},
-              {"store", gateway.m_store.m_watch.m_isInterrupted ? "interrupted" : "followed"},
+              {"store", gateway.m_store.m_watch.m_progress.m_isInterrupted ? "interrupted" : "followed"},
               {"sent", fmt::format("{}", exchange.m_attempts.m_sent)},
               {"replica", exchange.m_attempt->m_replica},
               {"stages", describePlan(exchange)},
--- a/src/gateway_store.cpp
+++ b/src/gateway_store.cpp
@@ -14,6 +14,7 @@
     NetConnection *m_net = nullptr;
     HttpReader m_reader{HTTP_RESPONSE, MaxHeadBytes, MaxBodyBytes};
     std::function<void(int, std::string)> m_onEnd; ///< HTTP status (0: no answer) and body; the answer belongs to StoreClient::m_era
+    std::string_view m_call; ///< name of the open call in the log
     NetTimer m_timeout;
     bool m_busy = false;
     bool m_isConnected = false; ///< the handshake has ended
@@ -34,7 +35,6 @@
 constexpr Duration ShortWatchMargin = milliseconds(750); ///< added to the wait for the timeout of the call
 constexpr Duration LongWatchWait = seconds(15); ///< of calls on a proven watch, as each call is billed
 constexpr Duration LongWatchMargin = seconds(2);
-constexpr Duration MinWatchPause = milliseconds(100); ///< after an answer with events
 constexpr Duration MinWatchInterval = milliseconds(500); ///< least setting of StoreWatch::m_pause
 constexpr Duration MaxWatchInterval = milliseconds(1000);
 constexpr size_t Sentinels = 2; ///< gateways whose watch never waits for long
@@ -44,15 +44,9 @@
 constexpr Duration RevisionSlack = milliseconds(100);
 /** The pause is this part of GatewaySettings::m_leavingTime; the rest is for the call and for requests on their way. */
 constexpr int64_t LeavingTimeDivisor = 4;
-/** Renewals answer within milliseconds and tell when the store is out of reach or back, so they are given up earlier. */
-constexpr Duration RenewalTimeout = milliseconds(800);
 constexpr Duration StoreConnectTimeout = milliseconds(400); ///< less than the second after which a lost opening packet is sent again
 constexpr Duration StoreSilenceTimeout = milliseconds(2000); ///< whole seconds, the resolution of TCP keep-alive probes
-constexpr Duration BaseRetryDelay = milliseconds(150); ///< doubles with each consecutive failure
-/** With RenewalTimeout, the bound on the time to notice the end of an outage; a change has to be in force soon after it. */
-constexpr Duration MaxRetryDelay = milliseconds(600);
-constexpr int MaxRetryDoublings = 2;
-constexpr Duration ConfirmingWatchWait = milliseconds(10); ///< wait of a watch call that confirms what is known after a pause
+constexpr Duration ConfirmingWatchWait = milliseconds(10); ///< wait of a watch call while changes may be missing
 /** How long new requests wait for the store after a pause of the process. Without an answer, traffic goes on as known. */
 constexpr Duration ConfirmTimeout = milliseconds(500);
 constexpr Duration MaxParkedTime = seconds(3); ///< a parked watch is retried after this time at the latest
@@ -60,7 +54,12 @@
 constexpr Duration LeaseRenewal = milliseconds(1900); ///< two consecutive renewals may fail before the lease expires
 
 constexpr size_t MaxLoggedEraBytes = 32;
-constexpr std::string_view WatchCall = "watch"; ///< name of the call in the log
+constexpr std::string_view WatchCall = "watch"; ///< names of calls in the log
+constexpr std::string_view ListCall = "list";
+constexpr std::string_view LeaseCall = "lease";
+constexpr std::string_view RegisterCall = "register";
+constexpr std::string_view RenewCall = "renew";
+constexpr std::string_view RevokeCall = "revoke";
 
 void startListing(Gateway &gateway);
 void readPage(Gateway &gateway, const std::string &after);
@@ -68,12 +67,14 @@
 void renewLease(Gateway &gateway);
 void requestLease(Gateway &gateway);
 void dropStoreCall(StoreConnection &connection);
+void resumeAfterOutage(Gateway &gateway);
 
 //-----------------------------------------------------------------------------
 // Calls
 //-----------------------------------------------------------------------------
 
-void finishStoreCall(StoreConnection &connection, int status, std::string body, bool keep)
+/** Frees the connection for the next call. @return the callback of the call that was open */
+std::function<void(int, std::string)> releaseStoreCall(StoreConnection &connection, bool keep)
 {
     connection.m_timeout.stop();
     connection.m_busy = false;
@@ -82,10 +83,62 @@
         connection.m_net = nullptr;
     }
     connection.m_reader.reset();
-    const auto callback = std::exchange(connection.m_onEnd, nullptr);
-    if (callback) {
+    return std::exchange(connection.m_onEnd, nullptr);
+}
+
+/** Records how a call ended. Every call passes here, whatever it was for. */
+void recordStoreReply(Gateway &gateway, const StoreConnection &connection, StoreReply reply, int status)
+{
+    StoreContact &contact = gateway.m_store.m_contact;
+    const bool wasAvailable = contact.m_isAvailable;
+    const int failures = contact.m_failures;
+    const ContactStep step = observeStoreReply(contact, reply);
+    if (reply == StoreReply::Answered) {
+        if (!wasAvailable) {
+            const std::optional<TimePoint> since = gateway.m_registry.m_storeUnavailableSince;
+            const Duration outage = since ? gatewayNow(gateway) - *since : Duration(0);
+            writeLog(LogLevel::Info,
+                     "store",
+                     "Key-value store is available.",
+                     {{"call", std::string(connection.m_call)},
+                      {"status", fmt::format("{}", status)},
+                      {"failures", fmt::format("{}", failures)},
+                      {"outage_ms", fmt::format("{}", outage.count() / 1000)}});
+        }
+        observeStoreSuccess(gateway.m_registry, gatewayNow(gateway));
+        return;
+    }
+    // A waiting watch may be cut off at any time, so its failure is no evidence that the store was out of reach before.
+    const bool hasWaited = connection.m_call == WatchCall && connection.m_isConnected;
+    const bool isSince = reply == StoreReply::None && !hasWaited;
+    observeStoreFailure(gateway.m_registry, isSince ? connection.m_startedAt : gatewayNow(gateway));
+    if (step == ContactStep::Lost) {
+        writeLog(LogLevel::Warning,
+                 "store",
+                 "Call to the key-value store failed.",
+                 {{"call", std::string(connection.m_call)}, {"status", fmt::format("{}", status)}});
+    }
+}
+
+/** Ends a call: records how it ended, and then resumes what has waited for the store. */
+void finishStoreCall(Gateway &gateway, StoreConnection &connection, int status, std::string body, bool keep)
+{
+    const bool wasLost = gateway.m_store.m_contact.m_failures > 0;
+    recordStoreReply(gateway, connection, storeReplyOf(status), status);
+    if (const auto callback = releaseStoreCall(connection, keep)) {
         callback(status, std::move(body));
     }
+    if (wasLost && gateway.m_store.m_contact.m_isAvailable) {
+        resumeAfterOutage(gateway);
+    }
+}
+
+/** An answer that was received can't be read: the call counts as failed. */
+void recordUnreadableAnswer(Gateway &gateway, const StoreConnection &connection, int status)
+{
+    if (storeReplyOf(status) == StoreReply::Answered) {
+        recordStoreReply(gateway, connection, StoreReply::Refused, status);
+    }
 }
 
 /** The store was restored from a backup: reads it again, and replaces the lease, whose id may have been assigned to another client. */
@@ -119,13 +172,13 @@
     switch (observeEra(era, header.has_value(), header ? Platform::parseStoreEra(*header) : std::nullopt)) {
     case EraStep::Current: {
         std::string body = std::move(connection.m_reader.m_body);
-        finishStoreCall(connection, reader.m_status, std::move(body), keepAlive);
+        finishStoreCall(gateway, connection, reader.m_status, std::move(body), keepAlive);
         return;
     }
     case EraStep::Begins:
         // The question was asked in an earlier era, so the answer means something else.
-        connection.m_onEnd = nullptr;
-        finishStoreCall(connection, 0, "", keepAlive);
+        recordStoreReply(gateway, connection, storeReplyOf(reader.m_status), reader.m_status);
+        releaseStoreCall(connection, keepAlive);
         enterEra(gateway);
         return;
     case EraStep::Ignored:
@@ -133,11 +186,21 @@
                  "store",
                  "Answer of the key-value store ignored: its era is unreadable, implausible or lower than the known one.",
                  {{"era", std::string(header->substr(0, MaxLoggedEraBytes))}, {"known", fmt::format("{}", era.m_era)}});
-        finishStoreCall(connection, 0, "", false);
+        finishStoreCall(gateway, connection, 0, "", false);
         return;
     }
 }
 
+/** Ends a call without an answer, or closes an idle connection on which something arrives. */
+void failStoreCall(Gateway &gateway, StoreConnection &connection)
+{
+    if (connection.m_busy) {
+        finishStoreCall(gateway, connection, 0, "", false);
+    } else {
+        releaseStoreCall(connection, false);
+    }
+}
+
 void connectStore(Gateway &gateway, StoreConnection &connection)
 {
     ConnectionOptions options;
@@ -153,23 +216,24 @@
     connection.m_net->m_onData = [&gateway, &connection](std::string_view data) {
         const size_t used = connection.m_reader.feed(data);
         if (!connection.m_busy || (connection.m_reader.m_state != ParseState::Done && used < data.size())) {
-            finishStoreCall(connection, 0, "", false);
+            failStoreCall(gateway, connection);
             return;
         }
         if (connection.m_reader.m_state == ParseState::Done) {
             finishAnswer(gateway, connection);
         }
     };
-    connection.m_net->m_onClose = [&connection](CloseCause, const absl::Status &) {
+    connection.m_net->m_onClose = [&gateway, &connection](CloseCause, const absl::Status &) {
         connection.m_net = nullptr;
         if (connection.m_busy) {
-            finishStoreCall(connection, 0, "", false);
+            failStoreCall(gateway, connection);
         }
     };
 }
 
 void callStore(Gateway &gateway,
                StoreConnection &connection,
+               std::string_view call,
                const std::string &method,
                const std::string &target,
                std::string_view body,
@@ -180,6 +244,7 @@
         connectStore(gateway, connection);
     }
     connection.m_busy = true;
+    connection.m_call = call;
     connection.m_startedAt = gatewayNow(gateway);
     connection.m_onEnd = std::move(onEnd);
     HttpHeaders headers = {{"Host", toString(gateway.m_store.m_address)}};
@@ -187,22 +252,21 @@
         headers.push_back({"Content-Type", "application/json"});
     }
     connection.m_net->write(formatRequest(method, target, headers, body));
-    connection.m_timeout.start(gateway.m_loop, timeout, [&connection] { finishStoreCall(connection, 0, "", false); });
+    const Duration limit = storeCallTimeout(gateway.m_store.m_contact, timeout);
+    connection.m_timeout.start(gateway.m_loop, limit, [&gateway, &connection, rest = timeout - limit] {
+        // An answer that arrives slowly is large: the store is there.
+        if (rest > Duration(0) && connection.m_reader.m_started) {
+            connection.m_timeout.start(gateway.m_loop, rest, [&gateway, &connection] { failStoreCall(gateway, connection); });
+            return;
+        }
+        failStoreCall(gateway, connection);
+    });
 }
 
 /** Ends an open call without its callback and closes the connection. */
 void dropStoreCall(StoreConnection &connection)
 {
-    connection.m_onEnd = nullptr;
-    finishStoreCall(connection, 0, "", false);
-}
-
-Duration retryDelay(Gateway &gateway)
-{
-    const int doublings = std::min(gateway.m_store.m_failures, MaxRetryDoublings);
-    const Duration delay = std::min(MaxRetryDelay, BaseRetryDelay * (int64_t{1} << doublings));
-    // Jitter spreads the retries of gateways that lost the store at the same time.
-    return delay / 2 + Duration(static_cast<int64_t>(uniformReal(gateway.m_random) * static_cast<double>(delay.count()) / 2));
+    releaseStoreCall(connection, false);
 }
 
 /** Lists or watches again after a failed call. */
@@ -226,10 +290,10 @@
 {
     StoreWatch &watch = gateway.m_store.m_watch;
     watch.m_isParked = true;
-    watch.m_isInterrupted = true;
-    watch.m_isProven = false;
-    const bool isProbed = gateway.m_store.m_lease != 0 && !gateway.m_draining && gateway.m_store.m_failures > 1;
-    const Duration delay = isProbed ? MaxParkedTime : retryDelay(gateway);
+    observeInterruption(watch.m_progress);
+    const StoreContact &contact = gateway.m_store.m_contact;
+    const bool isProbed = gateway.m_store.m_lease != 0 && !gateway.m_draining && contact.m_failures > 1;
+    const Duration delay = isProbed ? MaxParkedTime : storeRetryDelay(contact, gateway.m_random);
     watch.m_timer.start(gateway.m_loop, delay, [&gateway] { resumeWatch(gateway); });
 }
 
@@ -238,63 +302,29 @@
 {
     StoreWatch &watch = gateway.m_store.m_watch;
     dropStoreCall(*watch.m_connection);
-    watch.m_isInterrupted = true;
-    watch.m_isProven = false;
+    observeInterruption(watch.m_progress);
     resumeWatch(gateway);
 }
 
-/**
- * Resumes the watch if its call has failed. An open call starts again if an answer of the store was lost, as a connection
- * returns nothing more after a lost answer.
- */
-void resumeAfterOutage(Gateway &gateway, bool hasLostAnswer)
+/** The store is back: resumes the watch, or starts its call again if that may get no answer. */
+void resumeAfterOutage(Gateway &gateway)
 {
+    StoreContact &contact = gateway.m_store.m_contact;
     const StoreWatch &watch = gateway.m_store.m_watch;
-    if (watch.m_isParked) {
+    const WatchRestart restart = restartAfterOutage(contact, watch.m_isParked, watch.m_connection->m_busy);
+    contact.m_hasLostAnswer = false;
+    switch (restart) {
+    case WatchRestart::Resume:
         resumeWatch(gateway);
-    } else if (watch.m_connection->m_busy && hasLostAnswer) {
+        return;
+    case WatchRestart::Replace:
         restartWatch(gateway);
+        return;
+    case WatchRestart::None:
+        return;
     }
 }
 
-void recordStoreAnswer(Gateway &gateway)
-{
-    StoreClient &store = gateway.m_store;
-    const bool recovered = !store.m_available && store.m_failures > 0;
-    if (!store.m_available) {
-        const std::optional<TimePoint> since = gateway.m_registry.m_storeUnavailableSince;
-        const Duration outage = since ? gatewayNow(gateway) - *since : Duration(0);
-        writeLog(LogLevel::Info,
-                 "store",
-                 "Key-value store is available.",
-                 {{"failures", fmt::format("{}", store.m_failures)}, {"outage_ms", fmt::format("{}", outage.count() / 1000)}});
-    }
-    observeStoreSuccess(gateway.m_registry, gatewayNow(gateway));
-    store.m_available = true;
-    store.m_failures = 0;
-    const bool hasLostAnswer = std::exchange(store.m_hasLostAnswer, false);
-    if (recovered) {
-        resumeAfterOutage(gateway, hasLostAnswer);
-    }
-}
-
-void recordStoreFailure(Gateway &gateway, const StoreConnection &connection, std::string_view call, int status)
-{
-    StoreClient &store = gateway.m_store;
-    // A waiting watch may be cut off at any time, so its failure is no evidence that the store was out of reach before.
-    const bool hasWaited = call == WatchCall && connection.m_isConnected;
-    observeStoreFailure(gateway.m_registry, status == 0 && !hasWaited ? connection.m_startedAt : gatewayNow(gateway));
-    if (store.m_available || store.m_failures == 0) {
-        writeLog(LogLevel::Warning,
-                 "store",
-                 "Call to the key-value store failed.",
-                 {{"call", std::string(call)}, {"status", fmt::format("{}", status)}});
-    }
-    store.m_available = false;
-    store.m_hasLostAnswer = store.m_hasLostAnswer || status == 0;
-    store.m_failures += 1;
-}
-
 void countUnreadable(Gateway &gateway, const Platform::StoreItems &items)
 {
     if (items.m_unreadable > 0) {
@@ -304,19 +334,18 @@
 }
 
 /** Records an answer to the watch or a listing. */
-void recordWatchAnswer(Gateway &gateway)
+void recordWatchAnswer(Gateway &gateway, bool hasEvents)
 {
     StoreWatch &watch = gateway.m_store.m_watch;
     const TimePoint now = gatewayNow(gateway);
-    if (std::exchange(watch.m_isInterrupted, false)) {
+    if (watch.m_progress.m_isInterrupted) {
         writeLog(LogLevel::Info,
                  "store",
                  "Watch continues after an interruption.",
-                 {{"silent_ms", fmt::format("{}", (now - watch.m_answeredAt).count() / 1000)},
+                 {{"silent_ms", fmt::format("{}", (now - watch.m_progress.m_answeredAt).count() / 1000)},
                   {"revision", fmt::format("{}", watch.m_version.revision())}});
     }
-    watch.m_answeredAt = now;
-    recordStoreAnswer(gateway);
+    observeWatchAnswer(watch.m_progress, hasEvents, now);
 }
 
 //-----------------------------------------------------------------------------
@@ -542,8 +571,7 @@
 /** Continues held requests once what is known has been confirmed. */
 void confirm(Gateway &gateway)
 {
-    gateway.m_store.m_watch.m_isCurrent = true;
-    if (gateway.m_isUnconfirmed) {
+    if (gateway.m_isUnconfirmed && gateway.m_store.m_watch.m_progress.m_isCurrent) {
         admitHeldRequests(gateway);
     }
 }
@@ -574,7 +602,8 @@
     for (const std::string &failureDomain : gateway.m_registry.m_evacuatedDomains) {
         reportUnknownEvacuation(gateway, failureDomain);
     }
-    watch.m_isProven = false;
+    watch.m_progress.m_isCurrent = true;
+    watch.m_progress.m_isProven = false;
     // Pages and listings may differ in revision, so the watch starts at that of the first page.
     watch.m_version = watch.m_listVersion.value_or(StoreVersion());
     if (gateway.m_store.m_era.m_era > 0) {
@@ -591,11 +620,11 @@
     absl::StatusOr<Platform::StoreItems> page =
         status == HTTP_STATUS_OK ? Platform::decodeItems(body, gateway.m_store.m_era.m_era) : absl::UnavailableError("no answer");
     if (!page.ok()) {
-        recordStoreFailure(gateway, *watch.m_connection, "list", status);
+        recordUnreadableAnswer(gateway, *watch.m_connection, status);
         parkWatch(gateway);
         return;
     }
-    recordWatchAnswer(gateway);
+    recordWatchAnswer(gateway, true);
     countUnreadable(gateway, *page);
     observeFirstVersion(gateway.m_store.m_era, page->m_asOf);
     watch.m_listVersion = watch.m_listVersion.value_or(page->m_asOf);
@@ -613,23 +642,11 @@
 {
     StoreWatch &watch = gateway.m_store.m_watch;
     const std::string target = Platform::formatRangeTarget(prefixOf(StoreRanges.at(watch.m_listing)), after);
-    callStore(gateway, *watch.m_connection, "GET", target, "", CallTimeout, [&gateway](int status, const std::string &body) {
+    callStore(gateway, *watch.m_connection, ListCall, "GET", target, "", CallTimeout, [&gateway](int status, const std::string &body) {
         handlePage(gateway, status, body);
     });
 }
 
-/** Pause after an answer, so that changes in quick succession share a call. */
-Duration pauseBeforeCall(Gateway &gateway, bool wasCurrent)
-{
-    StoreWatch &watch = gateway.m_store.m_watch;
-    if (!wasCurrent || watch.m_isProven) {
-        return Duration(0);
-    }
-    const TimePoint now = gatewayNow(gateway);
-    watch.m_nextEventsAt = std::max(watch.m_nextEventsAt, now - watch.m_interval) + watch.m_interval;
-    return std::max(MinWatchPause, watch.m_nextEventsAt - now);
-}
-
 /** The earliest time at which the store may have read what the answer to a watch call tells. */
 TimePoint viewTime(const Gateway &gateway, const Platform::StoreItems &events)
 {
@@ -648,20 +665,20 @@
         const Duration age = watchAge(gateway);
         const StoreVersion from = watch.m_version;
         const TimePoint viewAt = viewTime(gateway, *events);
-        recordWatchAnswer(gateway);
+        const bool wasCurrent = watch.m_progress.m_isCurrent;
+        recordWatchAnswer(gateway, !events->m_items.empty());
         countUnreadable(gateway, *events);
         // A relayed answer may have told of newer changes while this call was open.
         std::erase_if(events->m_items,
                       [from](const Platform::StoreItem &item) { return item.m_version.revision() != 0 && item.m_version <= from; });
         watch.m_version.advanceTo(events->m_asOf);
         gateway.m_relay.m_currentAt = gatewayNow(gateway);
-        const bool wasCurrent = watch.m_isCurrent;
-        watch.m_isProven = wasCurrent && events->m_items.empty();
         applyEvents(gateway, *events, age);
         observeColdView(gateway.m_cold, viewAt, gatewayNow(gateway));
         relayAnswer(gateway, from, *events);
         confirm(gateway);
-        watch.m_timer.start(gateway.m_loop, pauseBeforeCall(gateway, wasCurrent), [&gateway] { callWatch(gateway); });
+        const Duration pause = pauseBeforeWatch(watch.m_progress, wasCurrent, watch.m_interval, gatewayNow(gateway));
+        watch.m_timer.start(gateway.m_loop, pause, [&gateway] { callWatch(gateway); });
         return;
     }
     if (status == HTTP_STATUS_GONE) {
@@ -673,7 +690,7 @@
         startListing(gateway);
         return;
     }
-    recordStoreFailure(gateway, *watch.m_connection, WatchCall, status);
+    recordUnreadableAnswer(gateway, *watch.m_connection, status);
     parkWatch(gateway);
 }
 
@@ -707,11 +724,12 @@
         awaitRelay(gateway);
         return;
     }
-    const bool isLong = watch.m_isCurrent && watch.m_isProven && !isSentinel(gateway) && gateway.m_relay.m_subscribers.empty();
-    const Duration wait = !watch.m_isCurrent ? ConfirmingWatchWait : isLong ? LongWatchWait : ShortWatchWait;
+    const WatchProgress &progress = watch.m_progress;
+    const bool isLong = progress.m_isCurrent && progress.m_isProven && !isSentinel(gateway) && gateway.m_relay.m_subscribers.empty();
+    const Duration wait = !progress.m_isCurrent || progress.m_isInterrupted ? ConfirmingWatchWait : isLong ? LongWatchWait : ShortWatchWait;
     const Duration margin = isLong ? LongWatchMargin : ShortWatchMargin;
     watch.m_wait = wait;
-    writeLog(watch.m_isInterrupted ? LogLevel::Info : LogLevel::Debug,
+    writeLog(progress.m_isInterrupted ? LogLevel::Info : LogLevel::Debug,
              "store",
              "Watch started.",
              {{"revision", fmt::format("{}", watch.m_version.revision())},
@@ -721,7 +739,7 @@
     beginRelayedCall(gateway.m_relay);
     // All keys have the empty prefix.
     const std::string target = Platform::formatWatchTarget("", watch.m_version.revision(), wait);
-    callStore(gateway, *watch.m_connection, "GET", target, "", wait + margin, [&gateway](int status, const std::string &body) {
+    callStore(gateway, *watch.m_connection, WatchCall, "GET", target, "", wait + margin, [&gateway](int status, const std::string &body) {
         handleWatch(gateway, status, body);
     });
 }
@@ -745,8 +763,8 @@
 {
     gateway.m_store.m_lease = 0;
     loseColdLease(gateway.m_cold);
-    recordStoreFailure(gateway, *gateway.m_store.m_leaseConnection, "lease", status);
-    scheduleLease(gateway, retryDelay(gateway));
+    recordUnreadableAnswer(gateway, *gateway.m_store.m_leaseConnection, status);
+    scheduleLease(gateway, storeRetryDelay(gateway.m_store.m_contact, gateway.m_random));
 }
 
 /** @param leaseStartedAt when the lease was requested */
@@ -757,10 +775,11 @@
     const std::string body = Platform::formatPutBody(key, Platform::encodeMember(gateway.m_membership.m_self), store.m_lease);
     callStore(gateway,
               *store.m_leaseConnection,
+              RegisterCall,
               "POST",
               std::string(Platform::TransactionTarget),
               body,
-              CallTimeout,
+              StoreProbeTimeout,
               [&gateway, leaseStartedAt](int status, const std::string &) {
                   if (status != HTTP_STATUS_OK) {
                       handleLeaseFailure(gateway, status);
@@ -779,10 +798,11 @@
     const std::string body = Platform::formatLeaseBody(lifetime);
     callStore(gateway,
               *store.m_leaseConnection,
+              LeaseCall,
               "POST",
               std::string(Platform::LeaseTarget),
               body,
-              CallTimeout,
+              StoreProbeTimeout,
               [&gateway, lifetime](int status, const std::string &answer) {
                   const absl::StatusOr<int64_t> lease =
                       status == HTTP_STATUS_OK ? Platform::decodeLease(answer) : absl::UnavailableError("no answer");
@@ -808,13 +828,13 @@
     }
     callStore(gateway,
               *store.m_leaseConnection,
+              RenewCall,
               "POST",
               Platform::formatLeaseRenewalTarget(store.m_lease),
               "",
-              RenewalTimeout,
+              StoreProbeTimeout,
               [&gateway](int status, const std::string &) {
                   if (status == HTTP_STATUS_OK) {
-                      recordStoreAnswer(gateway);
                       observeColdLease(gateway.m_cold,
                                        gateway.m_store.m_leaseConnection->m_startedAt,
                                        gateway.m_store.m_leaseLifetime,
@@ -834,8 +854,8 @@
                       return;
                   }
                   // The lease may still be valid, so it is renewed again and not replaced.
-                  recordStoreFailure(gateway, *gateway.m_store.m_leaseConnection, "renew", status);
-                  scheduleLease(gateway, retryDelay(gateway));
+                  recordUnreadableAnswer(gateway, *gateway.m_store.m_leaseConnection, status);
+                  scheduleLease(gateway, storeRetryDelay(gateway.m_store.m_contact, gateway.m_random));
               });
 }
 
@@ -910,8 +930,7 @@
     watch.m_behindTimer.stop();
     watch.m_isParked = false;
     watch.m_isListed = false;
-    watch.m_isInterrupted = true;
-    watch.m_isProven = false;
+    observeInterruption(watch.m_progress);
     gateway.m_relay.m_currentAt = TimePoint();
     startListing(gateway);
 }
@@ -928,7 +947,7 @@
 
 Duration watchAge(const Gateway &gateway)
 {
-    return gatewayNow(gateway) - gateway.m_store.m_watch.m_answeredAt;
+    return gatewayNow(gateway) - gateway.m_store.m_watch.m_progress.m_answeredAt;
 }
 
 void gossipRevision(Gateway &gateway)
@@ -993,7 +1012,7 @@
         writeLog(LogLevel::Warning, "store", "Key-value store did not confirm what is known; continuing with it.");
         admitHeldRequests(gateway);
     });
-    gateway.m_store.m_watch.m_isCurrent = false;
+    gateway.m_store.m_watch.m_progress.m_isCurrent = false;
     restartWatch(gateway);
 }
 
@@ -1012,6 +1031,7 @@
     }
     callStore(gateway,
               *store.m_leaseConnection,
+              RevokeCall,
               "DELETE",
               Platform::formatLeaseRevokeTarget(store.m_lease),
               "",
--- a/src/serving.h
+++ b/src/serving.h
@@ -7,6 +7,7 @@
  *  [SECTION] Settings       start-up settings of one gateway process
  *  [SECTION] Configuration  one version of routes, services, organisations and limits
  *  [SECTION] Store versions the era and revision of what was read from the key-value store
+ *  [SECTION] Store contact  whether the key-value store answers, and what is known from it
  *  [SECTION] Registry       the registered replicas, from the events of the key-value store
  *  [SECTION] Membership     the live gateways and the owner of each service's queue
  *  [SECTION] Relays         answers of the watch that a few gateways pass on to the others
@@ -240,6 +241,74 @@
     int64_t m_revision = 0;
 };
 
+//-----------------------------------------------------------------------------
+// [SECTION] Store contact
+//
+// The end of every call to the key-value store passes observeStoreReply(). Any answer shows that the store is back, whichever
+// call it answers, so that no call has to find this out for itself.
+//-----------------------------------------------------------------------------
+
+/** How a call to the key-value store ended. */
+enum class StoreReply : uint8_t {
+    Answered, ///< the store has processed the call, also when it reports that a lease, a key or a history no longer exists
+    Refused, ///< turned away by status 429 or 5xx
+    None, ///< no answer within the time limit, or none that can be read
+};
+
+/** Classifies the HTTP status of an answer; 0 stands for no answer. */
+StoreReply storeReplyOf(int status);
+
+struct StoreContact {
+    bool m_isAvailable = false; ///< the last call was answered
+    int m_failures = 0; ///< consecutive calls without an answer
+    bool m_hasLostAnswer = false; ///< a call got no answer since the store was last available
+};
+
+enum class ContactStep : uint8_t {
+    None,
+    Lost, ///< the first failed call
+    Regained, ///< the first answer after failed calls
+};
+
+ContactStep observeStoreReply(StoreContact &contact, StoreReply reply);
+
+/**
+ * Limit on the time of calls while the store is out of reach. It answers within milliseconds; a call that was sent just before its
+ * return is lost, and the next one may only follow after this time.
+ */
+constexpr Duration StoreProbeTimeout = milliseconds(800);
+
+Duration storeCallTimeout(const StoreContact &contact, Duration usual);
+/** Delay before a failed call is repeated: random, growing with consecutive failures up to 600 ms. */
+Duration storeRetryDelay(const StoreContact &contact, Random &random);
+
+/** What happens to the watch when the store is back. */
+enum class WatchRestart : uint8_t {
+    None,
+    Resume, ///< it waits to be retried
+    Replace, ///< its open call may be on a connection that returns nothing more, as an answer was lost
+};
+
+WatchRestart restartAfterOutage(const StoreContact &contact, bool isParked, bool isCalling);
+
+/** How far the watch and its listings have got. */
+struct WatchProgress {
+    bool m_isCurrent = false; ///< nothing calls for a confirmation, as after a pause of the process
+    bool m_isInterrupted = false; ///< a call has failed since the last answer
+    bool m_isProven = false; ///< the last call was answered without events, so that the next one may wait for long
+    TimePoint m_answeredAt; ///< last answer of the store to the watch or its listings
+    TimePoint m_nextEventsAt; ///< no call before, so that the mean interval between answers with events is kept
+};
+
+void observeInterruption(WatchProgress &progress);
+void observeWatchAnswer(WatchProgress &progress, bool hasEvents, TimePoint now);
+/**
+ * Pause before the next call, so that changes in quick succession share one; none before a call that confirms what is known.
+ * @param wasCurrent before the last answer
+ * @param interval least mean time between answers with events
+ */
+Duration pauseBeforeWatch(WatchProgress &progress, bool wasCurrent, Duration interval, TimePoint now);
+
 //-----------------------------------------------------------------------------
 // [SECTION] Registry
 //-----------------------------------------------------------------------------
--- /dev/null
+++ b/src/serving_contact.cpp
@@ -0,0 +1,91 @@
+#include <algorithm>
+
+#include "serving.h"
+
+namespace Medlarramp::Serving {
+
+namespace {
+
+constexpr int StatusTooManyRequests = 429;
+constexpr int FirstServerError = 500;
+constexpr Duration BaseRetryDelay = milliseconds(150); ///< doubles with each consecutive failure
+/** With StoreProbeTimeout, the bound on the time to notice the end of an outage; a change has to be in force soon after it. */
+constexpr Duration MaxRetryDelay = milliseconds(600);
+constexpr int MaxRetryDoublings = 2;
+constexpr Duration MinWatchPause = milliseconds(100); ///< after an answer with events
+
+} // namespace
+
+StoreReply storeReplyOf(int status)
+{
+    if (status == 0) {
+        return StoreReply::None;
+    }
+    return status == StatusTooManyRequests || status >= FirstServerError ? StoreReply::Refused : StoreReply::Answered;
+}
+
+ContactStep observeStoreReply(StoreContact &contact, StoreReply reply)
+{
+    if (reply == StoreReply::Answered) {
+        const bool isRegained = !contact.m_isAvailable && contact.m_failures > 0;
+        contact.m_isAvailable = true;
+        contact.m_failures = 0;
+        return isRegained ? ContactStep::Regained : ContactStep::None;
+    }
+    const bool isLost = contact.m_isAvailable || contact.m_failures == 0;
+    contact.m_isAvailable = false;
+    contact.m_hasLostAnswer = contact.m_hasLostAnswer || reply == StoreReply::None;
+    contact.m_failures += 1;
+    return isLost ? ContactStep::Lost : ContactStep::None;
+}
+
+Duration storeCallTimeout(const StoreContact &contact, Duration usual)
+{
+    const bool isProbe = !contact.m_isAvailable && contact.m_failures > 0;
+    return isProbe ? std::min(usual, StoreProbeTimeout) : usual;
+}
+
+Duration storeRetryDelay(const StoreContact &contact, Random &random)
+{
+    const int doublings = std::min(contact.m_failures, MaxRetryDoublings);
+    const Duration delay = std::min(MaxRetryDelay, BaseRetryDelay * (int64_t{1} << doublings));
+    // Jitter spreads the retries of gateways that lost the store at the same time.
+    return delay / 2 + Duration(static_cast<int64_t>(uniformReal(random) * static_cast<double>(delay.count()) / 2));
+}
+
+WatchRestart restartAfterOutage(const StoreContact &contact, bool isParked, bool isCalling)
+{
+    if (isParked) {
+        return WatchRestart::Resume;
+    }
+    return isCalling && contact.m_hasLostAnswer ? WatchRestart::Replace : WatchRestart::None;
+}
+
+//-----------------------------------------------------------------------------
+// Progress of the watch
+//-----------------------------------------------------------------------------
+
+void observeInterruption(WatchProgress &progress)
+{
+    progress.m_isInterrupted = true;
+    progress.m_isProven = false;
+}
+
+void observeWatchAnswer(WatchProgress &progress, bool hasEvents, TimePoint now)
+{
+    progress.m_isInterrupted = false;
+    progress.m_answeredAt = now;
+    progress.m_isProven = progress.m_isCurrent && !hasEvents;
+    progress.m_isCurrent = true;
+}
+
+Duration pauseBeforeWatch(WatchProgress &progress, bool wasCurrent, Duration interval, TimePoint now)
+{
+    if (!wasCurrent || progress.m_isProven) {
+        return Duration(0);
+    }
+    progress.m_nextEventsAt = std::max(progress.m_nextEventsAt, now - interval) + interval;
+    return std::max(MinWatchPause, progress.m_nextEventsAt - now);
+}
+
+} // namespace Medlarramp::Serving
