Read all that was missed in an outage without pauses

Callers saw what had been changed in an outage of the key-value store come into force in parts, half a second apart.

Cause: the first answer after an interruption counted as everything that was missed, so that the pause by which changes share a call followed it.

Change: WatchProgress is current only after an answer without events; until then each call follows the last without a pause and does not wait, 16 in a row at most. Held requests and the view of the members for cold replicas wait for that too, as they relied on the same claim.

It costs one call for each interruption.

--- a/src/gateway_store.cpp
+++ b/src/gateway_store.cpp
@@ -333,19 +333,17 @@
     }
 }
 
-/** Records an answer to the watch or a listing. */
-void recordWatchAnswer(Gateway &gateway, bool hasEvents)
+/** Logs the first answer to the watch or a listing after an interruption. */
+void logContinuation(const Gateway &gateway)
 {
-    StoreWatch &watch = gateway.m_store.m_watch;
-    const TimePoint now = gatewayNow(gateway);
+    const StoreWatch &watch = gateway.m_store.m_watch;
     if (watch.m_progress.m_isInterrupted) {
         writeLog(LogLevel::Info,
                  "store",
                  "Watch continues after an interruption.",
-                 {{"silent_ms", fmt::format("{}", (now - watch.m_progress.m_answeredAt).count() / 1000)},
+                 {{"silent_ms", fmt::format("{}", watchAge(gateway).count() / 1000)},
                   {"revision", fmt::format("{}", watch.m_version.revision())}});
     }
-    observeWatchAnswer(watch.m_progress, hasEvents, now);
 }
 
 //-----------------------------------------------------------------------------
@@ -602,8 +600,7 @@
     for (const std::string &failureDomain : gateway.m_registry.m_evacuatedDomains) {
         reportUnknownEvacuation(gateway, failureDomain);
     }
-    watch.m_progress.m_isCurrent = true;
-    watch.m_progress.m_isProven = false;
+    observeListing(watch.m_progress, true, gatewayNow(gateway));
     // Pages and listings may differ in revision, so the watch starts at that of the first page.
     watch.m_version = watch.m_listVersion.value_or(StoreVersion());
     if (gateway.m_store.m_era.m_era > 0) {
@@ -624,7 +621,8 @@
         parkWatch(gateway);
         return;
     }
-    recordWatchAnswer(gateway, true);
+    logContinuation(gateway);
+    observeListing(watch.m_progress, false, gatewayNow(gateway));
     countUnreadable(gateway, *page);
     observeFirstVersion(gateway.m_store.m_era, page->m_asOf);
     watch.m_listVersion = watch.m_listVersion.value_or(page->m_asOf);
@@ -666,7 +664,8 @@
         const StoreVersion from = watch.m_version;
         const TimePoint viewAt = viewTime(gateway, *events);
         const bool wasCurrent = watch.m_progress.m_isCurrent;
-        recordWatchAnswer(gateway, !events->m_items.empty());
+        logContinuation(gateway);
+        observeWatchAnswer(watch.m_progress, !events->m_items.empty(), gatewayNow(gateway));
         countUnreadable(gateway, *events);
         // A relayed answer may have told of newer changes while this call was open.
         std::erase_if(events->m_items,
@@ -674,7 +673,9 @@
         watch.m_version.advanceTo(events->m_asOf);
         gateway.m_relay.m_currentAt = gatewayNow(gateway);
         applyEvents(gateway, *events, age);
-        observeColdView(gateway.m_cold, viewAt, gatewayNow(gateway));
+        if (watch.m_progress.m_isCurrent) {
+            observeColdView(gateway.m_cold, viewAt, gatewayNow(gateway));
+        }
         relayAnswer(gateway, from, *events);
         confirm(gateway);
         const Duration pause = pauseBeforeWatch(watch.m_progress, wasCurrent, watch.m_interval, gatewayNow(gateway));
@@ -726,7 +727,7 @@
     }
     const WatchProgress &progress = watch.m_progress;
     const bool isLong = progress.m_isCurrent && progress.m_isProven && !isSentinel(gateway) && gateway.m_relay.m_subscribers.empty();
-    const Duration wait = !progress.m_isCurrent || progress.m_isInterrupted ? ConfirmingWatchWait : isLong ? LongWatchWait : ShortWatchWait;
+    const Duration wait = !progress.m_isCurrent ? ConfirmingWatchWait : isLong ? LongWatchWait : ShortWatchWait;
     const Duration margin = isLong ? LongWatchMargin : ShortWatchMargin;
     watch.m_wait = wait;
     writeLog(progress.m_isInterrupted ? LogLevel::Info : LogLevel::Debug,
@@ -1012,7 +1013,6 @@
         writeLog(LogLevel::Warning, "store", "Key-value store did not confirm what is known; continuing with it.");
         admitHeldRequests(gateway);
     });
-    gateway.m_store.m_watch.m_progress.m_isCurrent = false;
     restartWatch(gateway);
 }
 
--- a/src/serving.h
+++ b/src/serving.h
@@ -293,17 +293,22 @@
 
 /** How far the watch and its listings have got. */
 struct WatchProgress {
-    bool m_isCurrent = false; ///< nothing calls for a confirmation, as after a pause of the process
+    bool m_isCurrent = false; ///< all changes were known at the last answer; not after an interruption or a pause of the process
     bool m_isInterrupted = false; ///< a call has failed since the last answer
     bool m_isProven = false; ///< the last call was answered without events, so that the next one may wait for long
+    int m_catchUpCalls = 0; ///< answers since the last interruption until the watch was current
     TimePoint m_answeredAt; ///< last answer of the store to the watch or its listings
     TimePoint m_nextEventsAt; ///< no call before, so that the mean interval between answers with events is kept
 };
 
+/** A call has failed or was given up, or the process was paused. */
 void observeInterruption(WatchProgress &progress);
+/** An answer with events may be a part of what was missed, so that only one without events shows that the watch has caught up. */
 void observeWatchAnswer(WatchProgress &progress, bool hasEvents, TimePoint now);
+/** A page of the listings was read. A complete listing is current, as the watch continues from its first page. */
+void observeListing(WatchProgress &progress, bool isComplete, TimePoint now);
 /**
- * Pause before the next call, so that changes in quick succession share one; none before a call that confirms what is known.
+ * Pause before the next call, so that changes in quick succession share one; none while changes may be missing.
  * @param wasCurrent before the last answer
  * @param interval least mean time between answers with events
  */
--- a/src/serving_contact.cpp
+++ b/src/serving_contact.cpp
@@ -13,6 +13,7 @@
 constexpr Duration MaxRetryDelay = milliseconds(600);
 constexpr int MaxRetryDoublings = 2;
 constexpr Duration MinWatchPause = milliseconds(100); ///< after an answer with events
+constexpr int MaxCatchUpCalls = 16; ///< without pauses between them, in case that the store has new events each time
 
 } // namespace
 
@@ -68,7 +69,9 @@
 void observeInterruption(WatchProgress &progress)
 {
     progress.m_isInterrupted = true;
+    progress.m_isCurrent = false;
     progress.m_isProven = false;
+    progress.m_catchUpCalls = 0;
 }
 
 void observeWatchAnswer(WatchProgress &progress, bool hasEvents, TimePoint now)
@@ -76,7 +79,16 @@
     progress.m_isInterrupted = false;
     progress.m_answeredAt = now;
     progress.m_isProven = progress.m_isCurrent && !hasEvents;
-    progress.m_isCurrent = true;
+    progress.m_catchUpCalls += progress.m_isCurrent ? 0 : 1;
+    progress.m_isCurrent = progress.m_isCurrent || !hasEvents || progress.m_catchUpCalls >= MaxCatchUpCalls;
+}
+
+void observeListing(WatchProgress &progress, bool isComplete, TimePoint now)
+{
+    progress.m_isInterrupted = false;
+    progress.m_answeredAt = now;
+    progress.m_isProven = false;
+    progress.m_isCurrent = isComplete;
 }
 
 Duration pauseBeforeWatch(WatchProgress &progress, bool wasCurrent, Duration interval, TimePoint now)
--- a/tests/test_store_contact.cpp
+++ b/tests/test_store_contact.cpp
@@ -159,6 +159,8 @@
     CPPUNIT_TEST(probesEndBeforeTheStoreIsMissed);
     CPPUNIT_TEST(watchGoesOnAtTheFirstAnswer);
     CPPUNIT_TEST(lapsedLeasesDoNotDelayChangesAtAnySize);
+    CPPUNIT_TEST(partOfWhatWasMissedIsNotTakenForAll);
+    CPPUNIT_TEST(endlessChangesDoNotKeepAGatewayBusy);
     CPPUNIT_TEST_SUITE_END();
 
     // Guards against an answer that is not counted because of the call or the status it belongs to.
@@ -230,6 +232,43 @@
             }
         }
     }
+
+    // Guards against a pause, or a claim to be current, between two parts of what was missed.
+    void partOfWhatWasMissedIsNotTakenForAll()
+    {
+        constexpr Duration Interval = milliseconds(500);
+        WatchProgress progress;
+        TimePoint now = TimePoint() + seconds(100);
+        observeListing(progress, true, now);
+        CPPUNIT_ASSERT(progress.m_isCurrent);
+        observeWatchAnswer(progress, true, now);
+        CPPUNIT_ASSERT(progress.m_isCurrent); // a change that has just been made
+        CPPUNIT_ASSERT(pauseBeforeWatch(progress, true, Interval, now) > Duration(0));
+        observeInterruption(progress);
+        for (int part = 0; part < 5; ++part) {
+            now += milliseconds(20);
+            observeWatchAnswer(progress, true, now);
+            CPPUNIT_ASSERT(!progress.m_isCurrent);
+            CPPUNIT_ASSERT(pauseBeforeWatch(progress, false, Interval, now) == Duration(0));
+        }
+        observeWatchAnswer(progress, false, now);
+        CPPUNIT_ASSERT(progress.m_isCurrent && !progress.m_isProven);
+        observeWatchAnswer(progress, false, now);
+        CPPUNIT_ASSERT(progress.m_isProven);
+    }
+
+    // Guards against calls without pauses for as long as there are changes.
+    void endlessChangesDoNotKeepAGatewayBusy()
+    {
+        constexpr int MostCalls = 20;
+        WatchProgress progress;
+        observeInterruption(progress);
+        int calls = 0;
+        while (!progress.m_isCurrent) {
+            observeWatchAnswer(progress, true, TimePoint() + seconds(100));
+            CPPUNIT_ASSERT(++calls <= MostCalls);
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(StoreContactTest, "store_contact");
