Refuse unknown routes and keys for a while only while the store is out of reach

Callers got 401 and 404 for keys and routes that had been added while a gateway had lost the key-value store, and did not come back, as both are final.

Weighed: a caller whose key is new loses its request by 401 and nothing by 503, which promises that the request has not run and names a time; one whose key is unknown for good learns so some seconds later. Requests that are known to be allowed go on.

Change: denyUnknown() is the only way to 401 and 404. It asks mayDenyUnknown(): the watch keeps up, or what is known was confirmed within the last second; a part of what was missed confirms nothing. Otherwise 503 with Retry-After and the new reason configuration_unconfirmed. Reasons of the gateway are appended, since gateways exchange their numbers.

--- a/src/core.cpp
+++ b/src/core.cpp
@@ -275,6 +275,7 @@
     "peer_unreachable",
     "shutdown_limit",
     "internal_error",
+    "configuration_unconfirmed",
 };
 
 } // namespace
--- a/src/core.h
+++ b/src/core.h
@@ -206,6 +206,8 @@
     // Shutdown
     ShutdownLimit,
     InternalError,
+    // Gateway; new reasons come last, as gateways exchange the numbers
+    ConfigurationUnconfirmed,
     Count, ///< number of reasons, not a reason
 };
 
--- a/src/gateway_attempts.cpp
+++ b/src/gateway_attempts.cpp
@@ -573,7 +573,7 @@
 void startAttempt(Gateway &gateway, Exchange &exchange)
 {
     if (!exchange.m_streaming && exchange.m_attempts.m_sent == 0 && isKeyWithdrawn(gateway, exchange)) {
-        failExchange(gateway, exchange, HTTP_STATUS_UNAUTHORIZED, Reason::UnknownKey);
+        denyUnknown(gateway, exchange, HTTP_STATUS_UNAUTHORIZED, Reason::UnknownKey);
         return;
     }
     if (rejectRefused(gateway, exchange)) {
--- a/src/gateway_relay.cpp
+++ b/src/gateway_relay.cpp
@@ -100,8 +100,8 @@
     const Duration age = watchAge(gateway);
     const Platform::StoreItems events = unknownChanges(message, watch.m_version);
     watch.m_version.advanceTo(asOf);
-    watch.m_progress.m_answeredAt = gatewayNow(gateway);
-    gateway.m_relay.m_currentAt = watch.m_progress.m_answeredAt;
+    gateway.m_relay.m_currentAt = gatewayNow(gateway);
+    observeRelayedAnswer(watch.m_progress, gateway.m_relay.m_currentAt);
     applyEvents(gateway, events, age);
     observeColdView(gateway.m_cold, TimePoint(Duration(message.m_subscribedUs)), gatewayNow(gateway));
 }
--- a/src/gateway_requests.cpp
+++ b/src/gateway_requests.cpp
@@ -165,11 +165,11 @@
     exchange.m_configuration = gateway.m_configuration;
     exchange.m_route = findRoute(*exchange.m_configuration, hostOf(exchange.m_request), exchange.m_request.m_target);
     if (exchange.m_route == nullptr) {
-        failExchange(gateway, exchange, HTTP_STATUS_NOT_FOUND, Reason::UnknownPipeline);
+        denyUnknown(gateway, exchange, HTTP_STATUS_NOT_FOUND, Reason::UnknownPipeline);
         return false;
     }
     if (!findOrganisation(exchange)) {
-        failExchange(gateway, exchange, HTTP_STATUS_UNAUTHORIZED, Reason::UnknownKey);
+        denyUnknown(gateway, exchange, HTTP_STATUS_UNAUTHORIZED, Reason::UnknownKey);
         return false;
     }
     if (exchange.m_attemptId.empty()) {
@@ -301,6 +301,15 @@
     sendOwnAnswer(gateway, exchange, HTTP_STATUS_SERVICE_UNAVAILABLE, headers, reason);
 }
 
+void denyUnknown(Gateway &gateway, Exchange &exchange, int status, Reason reason)
+{
+    if (mayDenyUnknown(gateway.m_store.m_watch.m_progress, gatewayNow(gateway))) {
+        failExchange(gateway, exchange, status, reason);
+    } else {
+        refuseExchange(gateway, exchange, Reason::ConfigurationUnconfirmed);
+    }
+}
+
 void failExchange(Gateway &gateway, Exchange &exchange, int status, Reason reason)
 {
     sendOwnAnswer(gateway, exchange, status, ownHeaders(exchange), reason);
--- a/src/serving.h
+++ b/src/serving.h
@@ -298,6 +298,7 @@
     bool m_isProven = false; ///< the last call was answered without events, so that the next one may wait for long
     int m_catchUpCalls = 0; ///< answers since the last interruption until the watch was current
     TimePoint m_answeredAt; ///< last answer of the store to the watch or its listings
+    TimePoint m_confirmedAt; ///< last answer, also a relayed one, after which all changes were known
     TimePoint m_nextEventsAt; ///< no call before, so that the mean interval between answers with events is kept
 };
 
@@ -307,6 +308,8 @@
 void observeWatchAnswer(WatchProgress &progress, bool hasEvents, TimePoint now);
 /** A page of the listings was read. A complete listing is current, as the watch continues from its first page. */
 void observeListing(WatchProgress &progress, bool isComplete, TimePoint now);
+/** A relayed answer has confirmed that all changes are known. */
+void observeRelayedAnswer(WatchProgress &progress, TimePoint now);
 /**
  * Pause before the next call, so that changes in quick succession share one; none while changes may be missing.
  * @param wasCurrent before the last answer
@@ -314,6 +317,14 @@
  */
 Duration pauseBeforeWatch(WatchProgress &progress, bool wasCurrent, Duration interval, TimePoint now);
 
+/** Knowledge of this age may be judged by although the watch is interrupted: it may be as old on a watch that keeps up. */
+constexpr Duration MaxUnconfirmedAge = milliseconds(1000);
+/**
+ * Whether a request may be refused because its route or API key is not known. Otherwise these may be new: callers don't repeat a request
+ * after 401 and 404, so that one that may be valid is refused with 503 instead.
+ */
+bool mayDenyUnknown(const WatchProgress &progress, TimePoint now);
+
 //-----------------------------------------------------------------------------
 // [SECTION] Registry
 //-----------------------------------------------------------------------------
--- a/src/serving_contact.cpp
+++ b/src/serving_contact.cpp
@@ -81,6 +81,7 @@
     progress.m_isProven = progress.m_isCurrent && !hasEvents;
     progress.m_catchUpCalls += progress.m_isCurrent ? 0 : 1;
     progress.m_isCurrent = progress.m_isCurrent || !hasEvents || progress.m_catchUpCalls >= MaxCatchUpCalls;
+    progress.m_confirmedAt = progress.m_isCurrent ? now : progress.m_confirmedAt;
 }
 
 void observeListing(WatchProgress &progress, bool isComplete, TimePoint now)
@@ -89,6 +90,13 @@
     progress.m_answeredAt = now;
     progress.m_isProven = false;
     progress.m_isCurrent = isComplete;
+    progress.m_confirmedAt = isComplete ? now : progress.m_confirmedAt;
+}
+
+void observeRelayedAnswer(WatchProgress &progress, TimePoint now)
+{
+    progress.m_answeredAt = now;
+    progress.m_confirmedAt = now;
 }
 
 Duration pauseBeforeWatch(WatchProgress &progress, bool wasCurrent, Duration interval, TimePoint now)
@@ -100,4 +108,10 @@
     return std::max(MinWatchPause, progress.m_nextEventsAt - now);
 }
 
+bool mayDenyUnknown(const WatchProgress &progress, TimePoint now)
+{
+    const bool isFollowed = progress.m_isCurrent && !progress.m_isInterrupted;
+    return isFollowed || now - progress.m_confirmedAt <= MaxUnconfirmedAge;
+}
+
 } // namespace Medlarramp::Serving
--- a/tests/test_store_contact.cpp
+++ b/tests/test_store_contact.cpp
@@ -161,6 +161,7 @@
     CPPUNIT_TEST(lapsedLeasesDoNotDelayChangesAtAnySize);
     CPPUNIT_TEST(partOfWhatWasMissedIsNotTakenForAll);
     CPPUNIT_TEST(endlessChangesDoNotKeepAGatewayBusy);
+    CPPUNIT_TEST(unconfirmedKnowledgeDeniesNothingForGood);
     CPPUNIT_TEST_SUITE_END();
 
     // Guards against an answer that is not counted because of the call or the status it belongs to.
@@ -269,6 +270,23 @@
             CPPUNIT_ASSERT(++calls <= MostCalls);
         }
     }
+
+    // Guards against 401 and 404 by knowledge that is older than it may be, and against 503 in their place while the watch keeps up.
+    void unconfirmedKnowledgeDeniesNothingForGood()
+    {
+        const TimePoint start = TimePoint() + seconds(100);
+        WatchProgress progress;
+        CPPUNIT_ASSERT(!mayDenyUnknown(progress, start));
+        observeListing(progress, true, start);
+        CPPUNIT_ASSERT(mayDenyUnknown(progress, start + seconds(15))); // a proven watch waits
+        observeInterruption(progress);
+        CPPUNIT_ASSERT(mayDenyUnknown(progress, start + milliseconds(900)));
+        CPPUNIT_ASSERT(!mayDenyUnknown(progress, start + milliseconds(1100)));
+        observeWatchAnswer(progress, true, start + seconds(9)); // a part of what was missed
+        CPPUNIT_ASSERT(!mayDenyUnknown(progress, start + seconds(9)));
+        observeWatchAnswer(progress, false, start + seconds(9));
+        CPPUNIT_ASSERT(mayDenyUnknown(progress, start + seconds(9)));
+    }
 };
 
 CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(StoreContactTest, "store_contact");
