Pass news of revisions on in few short steps

Callers saw a withdrawn key served for up to 3.0 s (bound 2 s), and a new one refused, by some of nine gateways whose long watches had become silent.

Cause: a gateway that was told of a newer revision waited 0.6 s before it asked the store itself, also while its own call was open and should have been answered at the same moment; it told others at its next tick; and each told the next two on a ring, so that the news took a step for every two gateways. A parked watch took no notice of it at all.

Change: newsGrace() gives an open call 100 ms, one whose answer is arriving 1 s, and a pause its interval. A parked watch goes on at once, as another gateway has reached the store. News is passed on with the answer. The listeners are 1, 2 and 4 places further on the ring (1, 4 and 16 from 17 gateways on): 9 gateways need 3 steps where they needed 4, 31 need 7 where they needed 15.

--- a/src/gateway_internal.h
+++ b/src/gateway_internal.h
@@ -614,7 +614,7 @@
 Duration watchAge(const Gateway &gateway);
 /** Tells some other gateways the newest revision that the watch has seen, if there is a new one. */
 void gossipRevision(Gateway &gateway);
-/** Another gateway has seen @p revision: starts the watch again unless it gets there soon. */
+/** Another gateway has seen @p seen: resumes the watch if it is parked, and starts its call again unless it gets there soon. */
 void handleRevision(Gateway &gateway, const StoreVersion &seen);
 /** Reads all listings again, for instance as the store was restored. */
 void listAgain(Gateway &gateway);
--- a/src/gateway_store.cpp
+++ b/src/gateway_store.cpp
@@ -38,10 +38,7 @@
 constexpr Duration MinWatchInterval = milliseconds(500); ///< least setting of StoreWatch::m_pause
 constexpr Duration MaxWatchInterval = milliseconds(1000);
 constexpr size_t Sentinels = 2; ///< gateways whose watch never waits for long
-constexpr size_t RevisionFanout = 2; ///< gateways that are told of new revisions, always the same ones
 constexpr Duration MinRevisionInterval = milliseconds(500); ///< between two messages with revisions
-/** Time for a revision that another gateway has seen to arrive here, beyond the pause of the watch. */
-constexpr Duration RevisionSlack = milliseconds(100);
 /** The pause is this part of GatewaySettings::m_leavingTime; the rest is for the call and for requests on their way. */
 constexpr int64_t LeavingTimeDivisor = 4;
 constexpr Duration StoreConnectTimeout = milliseconds(400); ///< less than the second after which a lost opening packet is sent again
@@ -678,6 +675,7 @@
         }
         relayAnswer(gateway, from, *events);
         confirm(gateway);
+        gossipRevision(gateway);
         const Duration pause = pauseBeforeWatch(watch.m_progress, wasCurrent, watch.m_interval, gatewayNow(gateway));
         watch.m_timer.start(gateway.m_loop, pause, [&gateway] { callWatch(gateway); });
         return;
@@ -745,6 +743,25 @@
     });
 }
 
+/** Starts the watch again if it has not got to @p seen although its call is open or other gateways call for it. */
+void restartIfBehind(Gateway &gateway, const StoreVersion &seen)
+{
+    const StoreWatch &watch = gateway.m_store.m_watch;
+    const bool isCalling = watch.m_connection->m_busy || gateway.m_relay.m_isFollowing;
+    if (watch.m_version >= seen || !watch.m_isListed || watch.m_isParked || !isCalling) {
+        return; // up to date, or about to be
+    }
+    gateway.m_relay.m_currentAt = TimePoint();
+    writeLog(LogLevel::Warning,
+             "store",
+             "Watch misses changes that another gateway has seen; starting it again.",
+             {{"revision", fmt::format("{}", watch.m_version.revision())},
+              {"seen", fmt::format("{}", seen.revision())},
+              {"seen_era", fmt::format("{}", seen.era())},
+              {"silent_ms", fmt::format("{}", watchAge(gateway).count() / 1000)}});
+    restartWatch(gateway);
+}
+
 /** Interval of answers with events, so that a replica that leaves gets no work later than the settings allow. */
 Duration watchInterval(const GatewaySettings &settings)
 {
@@ -968,9 +985,8 @@
     message.m_revision = watch.m_version.revision();
     message.m_era = watch.m_version.era();
     addStateSummary(gateway, message);
-    const std::vector<std::string> listeners = membersFrom(gateway, hash64(gateway.m_settings.m_node));
-    for (size_t i = 0; i < std::min(RevisionFanout, listeners.size()); ++i) {
-        sendToPeer(gateway, listeners[i], message);
+    for (const std::string &node : revisionListeners(membersFrom(gateway, hash64(gateway.m_settings.m_node)))) {
+        sendToPeer(gateway, node, message);
     }
 }
 
@@ -980,22 +996,15 @@
     if (seen <= watch.m_version || watch.m_behindTimer.isActive()) {
         return;
     }
-    watch.m_behindTimer.start(gateway.m_loop, watch.m_interval + RevisionSlack, [&gateway, seen] {
-        StoreWatch &behind = gateway.m_store.m_watch;
-        const bool isCalling = behind.m_connection->m_busy || gateway.m_relay.m_isFollowing;
-        if (behind.m_version >= seen || !behind.m_isListed || behind.m_isParked || !isCalling) {
-            return; // up to date, or about to be
-        }
-        gateway.m_relay.m_currentAt = TimePoint();
-        writeLog(LogLevel::Warning,
-                 "store",
-                 "Watch misses changes that another gateway has seen; starting it again.",
-                 {{"revision", fmt::format("{}", behind.m_version.revision())},
-                  {"seen", fmt::format("{}", seen.revision())},
-                  {"seen_era", fmt::format("{}", seen.era())},
-                  {"silent_ms", fmt::format("{}", watchAge(gateway).count() / 1000)}});
-        restartWatch(gateway);
-    });
+    if (watch.m_isParked) {
+        resumeWatch(gateway); // the store answers another gateway
+        return;
+    }
+    WatchCallView call;
+    call.m_isOpen = watch.m_connection->m_busy;
+    call.m_isReceiving = watch.m_connection->m_reader.m_started;
+    call.m_untilNext = watch.m_interval;
+    watch.m_behindTimer.start(gateway.m_loop, newsGrace(call), [&gateway, seen] { restartIfBehind(gateway, seen); });
 }
 
 void watchNow(Gateway &gateway)
--- a/src/serving.h
+++ b/src/serving.h
@@ -325,6 +325,26 @@
  */
 bool mayDenyUnknown(const WatchProgress &progress, TimePoint now);
 
+/** A watch call as it stands when another gateway tells of a newer revision. */
+struct WatchCallView {
+    bool m_isOpen = false;
+    bool m_isReceiving = false; ///< the answer has begun to arrive
+    Duration m_untilNext{}; ///< until the next call, when none is open
+};
+
+/**
+ * How long a change that another gateway has seen may take to arrive here. An open call should have been answered at the same time; one
+ * that is still not is on a connection that returns nothing more.
+ */
+Duration newsGrace(const WatchCallView &call);
+
+constexpr size_t MaxRevisionListeners = 3;
+/**
+ * The members, of @p others in the order of a ring from this gateway on, that are told of new revisions: the next one and two that are
+ * further away by powers of a base, so that news passes from any gateway to all in few steps, also when some are silent.
+ */
+std::vector<std::string> revisionListeners(const std::vector<std::string> &others);
+
 //-----------------------------------------------------------------------------
 // [SECTION] Registry
 //-----------------------------------------------------------------------------
--- a/src/serving_contact.cpp
+++ b/src/serving_contact.cpp
@@ -15,6 +15,10 @@
 constexpr Duration MinWatchPause = milliseconds(100); ///< after an answer with events
 constexpr int MaxCatchUpCalls = 16; ///< without pauses between them, in case that the store has new events each time
 
+constexpr Duration NewsSlack = milliseconds(100); ///< by which answers to the watches of two gateways differ, with a slow link
+constexpr Duration ReceivingSlack = milliseconds(1000); ///< for the rest of a large answer
+constexpr size_t MaxBinaryRing = 16; ///< other members up to which the distances are 1, 2, 4; above they are 1, 4, 16
+
 } // namespace
 
 StoreReply storeReplyOf(int status)
@@ -114,4 +118,28 @@
     return isFollowed || now - progress.m_confirmedAt <= MaxUnconfirmedAge;
 }
 
+//-----------------------------------------------------------------------------
+// News of other gateways
+//-----------------------------------------------------------------------------
+
+Duration newsGrace(const WatchCallView &call)
+{
+    if (!call.m_isOpen) {
+        return call.m_untilNext + NewsSlack;
+    }
+    return call.m_isReceiving ? ReceivingSlack : NewsSlack;
+}
+
+std::vector<std::string> revisionListeners(const std::vector<std::string> &others)
+{
+    const size_t base = others.size() < MaxBinaryRing ? 2 : 4;
+    std::vector<std::string> listeners;
+    size_t distance = 1;
+    while (distance <= others.size() && listeners.size() < MaxRevisionListeners) {
+        listeners.push_back(others[distance - 1]);
+        distance *= base;
+    }
+    return listeners;
+}
+
 } // namespace Medlarramp::Serving
--- a/tests/test_store_contact.cpp
+++ b/tests/test_store_contact.cpp
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <optional>
+#include <set>
 
 #include <cppunit/extensions/HelperMacros.h>
 #include <fmt/format.h>
@@ -150,6 +151,30 @@
     return gateway;
 }
 
+/** Steps in which news of the first of @p gateways on a ring reaches all others but @p silent; that many when it does not. */
+int stepsOfNews(size_t gateways, size_t silent)
+{
+    std::set<size_t> told = {0};
+    int steps = 0;
+    const size_t expected = gateways - (silent < gateways ? 1 : 0);
+    while (told.size() < expected && steps < static_cast<int>(gateways)) {
+        std::set<size_t> next = told;
+        for (const size_t teller : told) {
+            std::vector<std::string> others;
+            for (size_t i = 1; i < gateways; ++i) {
+                others.push_back(std::to_string((teller + i) % gateways));
+            }
+            for (const std::string &listener : revisionListeners(others)) {
+                next.insert(std::stoul(listener));
+            }
+        }
+        next.erase(silent);
+        told = next;
+        ++steps;
+    }
+    return steps;
+}
+
 } // namespace
 
 class StoreContactTest : public CppUnit::TestFixture
@@ -162,6 +187,8 @@
     CPPUNIT_TEST(partOfWhatWasMissedIsNotTakenForAll);
     CPPUNIT_TEST(endlessChangesDoNotKeepAGatewayBusy);
     CPPUNIT_TEST(unconfirmedKnowledgeDeniesNothingForGood);
+    CPPUNIT_TEST(newsReachesAllGatewaysInFewSteps);
+    CPPUNIT_TEST(newsAllowsForAnswersThatAreUnderWay);
     CPPUNIT_TEST_SUITE_END();
 
     // Guards against an answer that is not counted because of the call or the status it belongs to.
@@ -287,6 +314,25 @@
         observeWatchAnswer(progress, false, start + seconds(9));
         CPPUNIT_ASSERT(mayDenyUnknown(progress, start + seconds(9)));
     }
+
+    // Guards against news that passes along the ring one gateway after the other, and against a silent one that keeps it from the rest.
+    void newsReachesAllGatewaysInFewSteps()
+    {
+        for (const auto &[gateways, limit] : {std::pair<size_t, int>(2, 1), {3, 1}, {9, 3}, {17, 5}, {31, 7}}) {
+            for (size_t silent = 1; silent <= gateways; ++silent) {
+                CPPUNIT_ASSERT_MESSAGE(fmt::format("{} gateways, {} silent", gateways, silent), stepsOfNews(gateways, silent) <= limit + 2);
+            }
+            CPPUNIT_ASSERT_MESSAGE(fmt::format("{} gateways", gateways), stepsOfNews(gateways, gateways) <= limit);
+        }
+    }
+
+    // Guards against a call that is started again although its answer is arriving, and against a pause that is taken for silence.
+    void newsAllowsForAnswersThatAreUnderWay()
+    {
+        CPPUNIT_ASSERT(newsGrace({true, false, seconds(0)}) < newsGrace({true, true, seconds(0)}));
+        CPPUNIT_ASSERT(newsGrace({false, false, milliseconds(500)}) > milliseconds(500));
+        CPPUNIT_ASSERT(newsGrace({true, false, seconds(15)}) <= milliseconds(200)); // of 2 s for all steps
+    }
 };
 
 CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(StoreContactTest, "store_contact");
