List the store again when the changes exceed the limit of an answer

Cause: an answer to the watch beyond the limit of what a gateway may hold was given up, counted as a failed call and asked for again unchanged.

Change: it ends with status 413 inside the client, which means the same as a history that is no longer available: the listings, which hold only what is in force and come in pages, are read instead.

--- a/src/gateway_store.cpp
+++ b/src/gateway_store.cpp
@@ -13,7 +13,8 @@
 struct StoreConnection {
     NetConnection *m_net = nullptr;
     HttpReader m_reader{HTTP_RESPONSE, MaxHeadBytes, MaxBodyBytes};
-    std::function<void(int, std::string)> m_onEnd; ///< HTTP status (0: no answer) and body; the answer belongs to StoreClient::m_era
+    /** HTTP status (0: no answer, 413: an answer beyond the limit) and body; the answer belongs to StoreClient::m_era. */
+    std::function<void(int, std::string)> m_onEnd;
     std::string_view m_call; ///< name of the open call in the log
     NetTimer m_timeout;
     bool m_busy = false;
@@ -212,6 +213,10 @@
     connection.m_net->m_onConnect = [&connection] { connection.m_isConnected = true; };
     connection.m_net->m_onData = [&gateway, &connection](std::string_view data) {
         const size_t used = connection.m_reader.feed(data);
+        if (connection.m_busy && connection.m_reader.m_state == ParseState::BodyTooLarge) {
+            finishStoreCall(gateway, connection, HTTP_STATUS_PAYLOAD_TOO_LARGE, "", false);
+            return;
+        }
         if (!connection.m_busy || (connection.m_reader.m_state != ParseState::Done && used < data.size())) {
             failStoreCall(gateway, connection);
             return;
@@ -680,10 +685,11 @@
         watch.m_timer.start(gateway.m_loop, pause, [&gateway] { callWatch(gateway); });
         return;
     }
-    if (status == HTTP_STATUS_GONE) {
+    if (status == HTTP_STATUS_GONE || status == HTTP_STATUS_PAYLOAD_TOO_LARGE) {
         writeLog(LogLevel::Info,
                  "store",
-                 "Watch history is no longer available; listing again.",
+                 status == HTTP_STATUS_GONE ? "Watch history is no longer available; listing again."
+                                            : "Changes exceed the limit of an answer; listing again.",
                  {{"revision", fmt::format("{}", watch.m_version.revision())}});
         watch.m_isListed = false;
         startListing(gateway);
