--- a/tests/gateway_world.h
+++ b/tests/gateway_world.h
@@ -182,6 +182,7 @@
     std::map<std::string, int64_t> m_itemLeases; ///< lease of the last write by key
     int64_t m_nextLease = 7;
     int64_t m_listings = 0; ///< answered range calls
+    int64_t m_writes = 0; ///< answered transactions
 
     [[nodiscard]] StoreBackup backup() const
     {
@@ -264,13 +265,14 @@
                     const std::string &address,
                     const std::string &state = "ready",
                     int64_t born = 1,
-                    const std::string &failureDomain = "z1")
+                    const std::string &failureDomain = "z1",
+                    const std::string &softwareVersion = "v1")
     {
         put("servers/" + id,
             nlohmann::json{{"service", service},
                            {"address", address},
                            {"zone", failureDomain},
-                           {"version", "v1"},
+                           {"version", softwareVersion},
                            {"slots", 8},
                            {"state", state},
                            {"cold_left_ms", 0},
@@ -353,6 +355,35 @@
         }
     }
 
+    [[nodiscard]] int64_t revisionOf(const std::string &key) const
+    {
+        return m_items.contains(key) ? m_items.at(key).second : 0;
+    }
+
+    void answerTransaction(const std::shared_ptr<ReceivedRequest> &request, const nlohmann::json &body)
+    {
+        m_writes += 1;
+        nlohmann::json current = nlohmann::json::array();
+        bool holds = true;
+        for (const nlohmann::json &row : body.value("expected_revision", nlohmann::json::array())) {
+            const std::string key = row.at("key");
+            holds = holds && row.at("revision") == revisionOf(key);
+            current.push_back({{"key", key}, {"revision", revisionOf(key)}});
+        }
+        if (!holds) {
+            sendStatus(request, 412, nlohmann::json{{"entries", current}}.dump());
+            return;
+        }
+        for (const nlohmann::json &write : body.at("writes")) {
+            m_itemLeases[write.at("key").get<std::string>()] = write.value("lease", int64_t{0});
+            put(write.at("key"), fromBase64(write.at("value").get<std::string>()).value_or(""));
+        }
+        for (const nlohmann::json &key : body.value("remove", nlohmann::json::array())) {
+            remove(key);
+        }
+        send(request, {{"revision", m_revision}});
+    }
+
     void answer(const std::shared_ptr<ReceivedRequest> &request)
     {
         const std::string &target = request->m_request.m_target;
@@ -370,12 +401,7 @@
         } else if (target.find("/-/kv-watch") == 0) {
             answerWatch(request, std::stoll(parameter(target, "after")));
         } else if (target.find("/-/kv-txn") == 0) {
-            const nlohmann::json body = nlohmann::json::parse(request->m_request.m_body);
-            for (const nlohmann::json &write : body.at("writes")) {
-                m_itemLeases[write.at("key").get<std::string>()] = write.value("lease", int64_t{0});
-                put(write.at("key"), fromBase64(write.at("value").get<std::string>()).value_or(""));
-            }
-            send(request, {{"revision", m_revision}});
+            answerTransaction(request, nlohmann::json::parse(request->m_request.m_body));
         } else if (target.find("/-/kv-keep/") == 0) {
             const int64_t lease = std::stoll(target.substr(target.rfind('/') + 1));
             sendStatus(request, m_leases.contains(lease) ? 200 : 404, nlohmann::json{{"lease", lease}, {"ttl_ms", 4000}}.dump());
