Bind a stream to the software version that began it

Callers got streams whose events came from two software versions of a service (ORDER): within one answer after a replica had crashed, and when they took a broken stream up again, also at gateways that had just been started.

Cause: the registry dropped the version of a registration, so that a run could go on at any replica of the service; nothing read Resumes; and who began a stream was known to one process only. Class: a choice that depends on an earlier one is made without knowing that.

Change: a stream is bound to its version at its first event. Every write of an attempt at a resumable stream passes mayWriteStream() with that version, also when the replica has come back with another one. The store holds the usual version of a service, and the streams that another version began, written before their first event is sent; many streams share a write, and there is none while one version serves. A stream that is taken up is looked up by a read that starts after its request has arrived, at the start of a process too: recorded, of the usual version, or unknown. Unknown and departed versions are refused at once with 503 and a reason; malformed Resumes get 400. While the usual version changes, all streams are recorded and none is taken for it for as long as a stream can live.

Ruled out: records at peers (all gateways may be killed at once), a version worked out from Resumes alone (each change of the shares of a release moves streams that have begun), replicas (they drop a run with its connection).

--- a/src/core.cpp
+++ b/src/core.cpp
@@ -276,6 +276,9 @@
     "shutdown_limit",
     "internal_error",
     "configuration_unconfirmed",
+    "stream_version_unknown",
+    "stream_version_left",
+    "stream_not_recorded",
 };
 
 } // namespace
--- a/src/core.h
+++ b/src/core.h
@@ -208,6 +208,9 @@
     InternalError,
     // Gateway; new reasons come last, as gateways exchange the numbers
     ConfigurationUnconfirmed,
+    StreamVersionUnknown,
+    StreamVersionLeft,
+    StreamNotRecorded,
     Count, ///< number of reasons, not a reason
 };
 
--- a/src/gateway_attempts.cpp
+++ b/src/gateway_attempts.cpp
@@ -37,6 +37,9 @@
     const TimePoint now = gatewayNow(gateway);
     const bool learnsSpeed = learnsEngineSpeed(gateway, exchange);
     for (const std::string &id : ids) {
+        if (!isVersionUsable(gateway, exchange, id)) {
+            continue;
+        }
         const Upstream &upstream = gateway.m_upstreams.at(id);
         const bool hasIdle = hasReusable(gateway, upstream, connectionUse(exchange), scarce);
         const bool mayOpen = mayConnect(upstream.m_connects, now) && isWithinShare(gateway, upstream);
@@ -289,14 +292,53 @@
     return events;
 }
 
+/** Sends the head of the answer with its first events. */
+void beginAnswer(Gateway &gateway, Exchange &exchange, int status, const HttpHeaders &headers, const std::string &events)
+{
+    exchange.m_streaming = true;
+    exchange.m_attempts.m_answerStarted = true;
+    startDeadlineTimer(gateway, exchange, exchange.m_deadline);
+    releaseTokens(gateway, exchange);
+    releaseStages(gateway, exchange, true);
+    const Duration latency = gatewayNow(gateway) - exchange.m_attempt->m_startedAt;
+    recordAttempt(gateway, exchange.m_attempt->m_replica, false, false, latency);
+    observeFirstEvent(gateway, exchange, latency);
+    beginStream(gateway, *exchange.m_caller, status, headers, events);
+    throttleUpstream(gateway, exchange);
+}
+
+/** Stops reading the answer of a replica, or goes on with it, while its first event is held. */
+void pauseHeldCall(Gateway &gateway, const Exchange &exchange, bool isPaused)
+{
+    const auto call = gateway.m_calls.find(exchange.m_attempt->m_call);
+    if (call == gateway.m_calls.end() || call->second->m_connection->m_net == nullptr) {
+        return;
+    }
+    if (isPaused) {
+        call->second->m_connection->m_net->pauseReading();
+    } else {
+        call->second->m_connection->m_net->resumeReading();
+    }
+}
+
 /** Forwards complete events to the caller. */
 void forwardEvents(Gateway &gateway, Exchange &exchange, HttpReader &reader)
 {
-    exchange.m_attempt->m_partialEvent += std::exchange(reader.m_body, std::string());
-    if (!exchange.m_attempt->m_began && exchange.m_attempt->m_partialEvent.find("\n\n") != std::string::npos) {
-        exchange.m_attempt->m_began = true;
+    Attempt &attempt = *exchange.m_attempt;
+    attempt.m_partialEvent += std::exchange(reader.m_body, std::string());
+    if (attempt.m_held) {
+        return;
+    }
+    const bool hasEvent = attempt.m_partialEvent.find("\n\n") != std::string::npos;
+    if (!attempt.m_began && hasEvent) {
+        attempt.m_began = true;
         clearSuspects(gateway, exchange);
     }
+    if (hasEvent && !fixVersion(gateway, exchange)) {
+        attempt.m_held = HeldAnswer{reader.m_status, answerHeaders(reader), std::nullopt};
+        pauseHeldCall(gateway, exchange, true);
+        return;
+    }
     const std::string events = takeEvents(exchange);
     if (events.empty()) {
         return;
@@ -306,16 +348,7 @@
         throttleUpstream(gateway, exchange);
         return;
     }
-    exchange.m_streaming = true;
-    exchange.m_attempts.m_answerStarted = true;
-    startDeadlineTimer(gateway, exchange, exchange.m_deadline);
-    releaseTokens(gateway, exchange);
-    releaseStages(gateway, exchange, true);
-    const Duration latency = gatewayNow(gateway) - exchange.m_attempt->m_startedAt;
-    recordAttempt(gateway, exchange.m_attempt->m_replica, false, false, latency);
-    observeFirstEvent(gateway, exchange, latency);
-    beginStream(gateway, *exchange.m_caller, reader.m_status, answerHeaders(reader), events);
-    throttleUpstream(gateway, exchange);
+    beginAnswer(gateway, exchange, reader.m_status, answerHeaders(reader), events);
 }
 
 bool isSuccessWithSeal(const HttpReader &reader)
@@ -323,9 +356,8 @@
     return isSuccess(reader.m_status) && hasReplicaSeal(reader);
 }
 
-void handleStreamEnd(Gateway &gateway, Exchange &exchange, HttpReader &reader, CallEnd end)
+void endStreamAttempt(Gateway &gateway, Exchange &exchange, CallEnd end)
 {
-    forwardEvents(gateway, exchange, reader);
     const bool whole = end == CallEnd::Done && exchange.m_attempt->m_partialEvent.empty();
     if (whole && exchange.m_streaming) {
         releaseReplica(gateway, exchange);
@@ -335,6 +367,16 @@
     handleAttemptEnd(gateway, exchange, exchange.m_streaming ? AttemptEnd::Broken : AttemptEnd::Lost, Reason::StreamTruncated);
 }
 
+void handleStreamEnd(Gateway &gateway, Exchange &exchange, HttpReader &reader, CallEnd end)
+{
+    forwardEvents(gateway, exchange, reader);
+    if (exchange.m_attempt->m_held) {
+        exchange.m_attempt->m_held->m_end = end;
+        return;
+    }
+    endStreamAttempt(gateway, exchange, end);
+}
+
 //-----------------------------------------------------------------------------
 // Attempt results
 //-----------------------------------------------------------------------------
@@ -480,7 +522,7 @@
         return;
     }
     forwardEvents(gateway, *exchange, reader);
-    if (exchange->m_attempt->m_partialEvent.size() > MaxEventBytes) {
+    if (!exchange->m_attempt->m_held && exchange->m_attempt->m_partialEvent.size() > MaxEventBytes) {
         exchange->m_attempts.m_sent += 1;
         cancelCall(gateway, call.m_number);
         handleAttemptEnd(gateway, *exchange, exchange->m_streaming ? AttemptEnd::Broken : AttemptEnd::Lost, Reason::InvalidAnswer);
@@ -559,6 +601,21 @@
 
 } // namespace
 
+void continueStream(Gateway &gateway, Exchange &exchange)
+{
+    const HeldAnswer held = std::move(*exchange.m_attempt->m_held);
+    exchange.m_attempt->m_held.reset();
+    const std::string events = takeEvents(exchange);
+    if (!events.empty()) {
+        beginAnswer(gateway, exchange, held.m_status, held.m_headers, events);
+    }
+    if (held.m_end) {
+        endStreamAttempt(gateway, exchange, *held.m_end);
+    } else {
+        pauseHeldCall(gateway, exchange, false);
+    }
+}
+
 bool refuseIfPaused(Gateway &gateway, Exchange &exchange, TimePoint limit)
 {
     const TimePoint now = gatewayNow(gateway);
@@ -579,6 +636,14 @@
     if (rejectRefused(gateway, exchange)) {
         return;
     }
+    if (hasVersionLeft(gateway, exchange)) {
+        if (exchange.m_attempts.m_ran == 0) {
+            refuseExchange(gateway, exchange, Reason::StreamVersionLeft);
+        } else {
+            failExchange(gateway, exchange, HTTP_STATUS_BAD_GATEWAY, Reason::StreamVersionLeft);
+        }
+        return;
+    }
     const std::optional<ReplicaChoice> choice = chooseReplica(gateway, exchange);
     if (!choice) {
         if (refuseIfPaused(gateway, exchange, gatewayNow(gateway))) {
@@ -616,6 +681,10 @@
     call.m_text = formatAttempt(gateway, exchange, choice->m_id);
     call.m_attemptId = exchange.m_attemptId;
     call.m_ids = {hash64(exchange.m_attemptId)};
+    if (isResumable(exchange)) {
+        exchange.m_attempt->m_softwareVersion = upstream.m_record.m_softwareVersion;
+        call.m_pin = StreamPin{upstream.m_record.m_softwareVersion, exchange.m_softwareVersion};
+    }
     const uint64_t number = exchange.m_number;
     call.m_onProgress = [&gateway, number](UpstreamCall &progress) { handleProgress(gateway, number, progress); };
     call.m_onEnd = [&gateway, number](UpstreamCall &ended, CallEnd end) { handleCallEnd(gateway, number, ended, end); };
--- a/src/gateway_internal.h
+++ b/src/gateway_internal.h
@@ -13,6 +13,7 @@
  *  [SECTION] Crashes    requests and prompt parts that crash replicas
  *  [SECTION] Cold       permits for requests to cold replicas
  *  [SECTION] Store      client of the key-value store
+ *  [SECTION] Software versions  records of which version began a stream
  *  [SECTION] Store era  what gateways tell each other after the store was restored
  *  [SECTION] Memory     bytes held and connections, kept within their bounds
  *  [SECTION] Gateway    state of one gateway process
@@ -71,6 +72,7 @@
     /** Handles in the answer to a stage call, by which a copy of an earlier answer is recognised; not set: not checked. */
     std::function<std::vector<std::string>(const HttpReader &)> m_handles;
     bool m_isWork = true; ///< only for replicas that accept work; releases of results go to all
+    std::optional<StreamPin> m_pin; ///< of attempts at resumable streams
     std::optional<int> m_permit; ///< slot that is reserved at a cold replica until the call is written
     bool m_isWithheld = false; ///< not written, as the replica turned cold and there is no permit
     std::function<void(UpstreamCall &)> m_onProgress; ///< head complete or more of the body received; may cancel the call
@@ -213,6 +215,13 @@
 // [SECTION] Requests
 //-----------------------------------------------------------------------------
 
+/** An answer whose first event waits until the software version of the stream has been recorded. */
+struct HeldAnswer {
+    int m_status = 0;
+    HttpHeaders m_headers;
+    std::optional<CallEnd> m_end; ///< of the call, if it has ended meanwhile
+};
+
 /** State of one attempt at one replica. Replaced as a whole by the next attempt, so that nothing of it outlives it. */
 struct Attempt {
     std::string m_replica; ///< id; empty before the first attempt
@@ -221,7 +230,9 @@
     NetTimer m_timer;
     bool m_began = false; ///< the replica has begun to answer: an event or a whole answer was received
     bool m_countsTokens = false; ///< the prompt is included in the replica's m_pendingTokens
-    std::string m_partialEvent; ///< bytes of an incomplete event
+    std::string m_partialEvent; ///< bytes of an incomplete event, and of whole ones while the answer is held
+    std::string m_softwareVersion; ///< of the replica, for resumable streams
+    std::optional<HeldAnswer> m_held; ///< set while the stream is being recorded
     std::optional<int64_t> m_uncachedTokens; ///< that the replica is expected to read, when its speed is learned
     int m_runningBefore = 0; ///< requests of this gateway at the replica when the attempt began
     std::optional<TimePoint> m_longUntil; ///< while a long prompt is read: expected end
@@ -264,6 +275,7 @@
     bool m_streaming = false; ///< events have been sent to the caller
     int64_t m_lastEvent = 0; ///< id of the last event sent to the caller
     bool m_hasLastEvent = false;
+    std::optional<std::string> m_softwareVersion; ///< of a resumable stream that has begun, here or before it was taken up
 };
 
 void handleRequest(Gateway &gateway, CallerConnection &caller);
@@ -304,6 +316,8 @@
 /** Selects a replica and sends the request to it. All stages have to be done. */
 void startAttempt(Gateway &gateway, Exchange &exchange);
 void stopAttempt(Gateway &gateway, Exchange &exchange);
+/** Sends what was held while the stream was being recorded. */
+void continueStream(Gateway &gateway, Exchange &exchange);
 /**
  * Starts the next attempt of a request that found no connection after a pause, or refuses the request at once when none is likely to be
  * available before its deadline.
@@ -651,6 +665,80 @@
 /** Removes this gateway from the membership. */
 void leaveMembership(Gateway &gateway);
 
+/** Starts a call on a connection without an open one. Its end is recorded for the state of the store, whatever it is for. */
+void callStore(Gateway &gateway,
+               StoreConnection &connection,
+               std::string_view call,
+               const std::string &method,
+               const std::string &target,
+               std::string_view body,
+               Duration timeout,
+               std::function<void(int, std::string)> onEnd);
+/** A connection for calls of one kind. Never freed: it is used until the process exits. */
+StoreConnection *newStoreConnection();
+bool isCalling(const StoreConnection &connection);
+/** An answer that was received can't be read: the call counts as failed. */
+void recordUnreadableAnswer(Gateway &gateway, const StoreConnection &connection, int status);
+
+//-----------------------------------------------------------------------------
+// [SECTION] Software versions
+//-----------------------------------------------------------------------------
+
+/** The usual version of a service, as the watch shows it. */
+struct UsualView {
+    UsualVersion m_usual;
+    TimePoint m_knownSince;
+};
+
+/** The records of one process in the store, as the watch shows them. */
+struct RecordItem {
+    int64_t m_revision = 0;
+    std::optional<TimePoint> m_orphanedSince; ///< the process is not among the members
+};
+
+struct SoftwareState {
+    std::map<std::string, UsualView> m_usual; ///< by service
+    std::map<std::string, TimePoint> m_missingSince; ///< by service: no replica of the usual version is registered
+    std::map<std::string, RecordItem> m_items; ///< by key
+    StreamRecords m_records;
+    NetTimer m_recordTimer; ///< until a failed write is repeated
+    std::vector<uint64_t> m_lookups; ///< numbers of the requests that wait for the next read of all records
+    std::vector<uint64_t> m_open; ///< and for the one that is open
+    std::vector<Platform::StoreItem> m_page; ///< items that the open read has got so far
+    StoreConnection *m_recordConnection = nullptr;
+    StoreConnection *m_lookupConnection = nullptr;
+    StoreConnection *m_keeperConnection = nullptr; ///< of the member that keeps the usual versions
+    uint64_t m_recordWrites = 0;
+    uint64_t m_recordFailures = 0;
+    uint64_t m_recordReads = 0;
+    uint64_t m_takenUp = 0; ///< requests that go on with a stream
+};
+
+/** Whether the route of a request allows its stream to be taken up. */
+bool isResumable(const Exchange &exchange);
+TakeUpForm takeUpForm(const Exchange &exchange);
+/**
+ * Finds out which version began the stream that a request takes up. Then goes on with its stages or refuses it.
+ * @return false when the request takes up no stream
+ */
+bool beginTakeUp(Gateway &gateway, Exchange &exchange);
+/**
+ * Fixes the version of a stream whose first event has arrived, and records it if that is needed.
+ * @return false when the event has to be held until continueStream()
+ */
+bool fixVersion(Gateway &gateway, Exchange &exchange);
+/** Whether a replica may be chosen for a request by its software version. */
+bool isVersionUsable(Gateway &gateway, const Exchange &exchange, const std::string &replica);
+/** Whether the stream of a request can't go on, as no replica of its version gets work. */
+bool hasVersionLeft(Gateway &gateway, const Exchange &exchange);
+/** Applies a change below SoftwarePrefix. */
+void applySoftwareItem(Gateway &gateway, const Platform::StoreItem &item);
+/** Replaces what is known by a complete listing; items with other keys are ignored. */
+void replaceSoftwareItems(Gateway &gateway, const std::vector<Platform::StoreItem> &items);
+void startSoftware(Gateway &gateway);
+/** Each tick: one member keeps the usual versions and removes records that nobody needs any more. */
+void keepSoftware(Gateway &gateway);
+
 //-----------------------------------------------------------------------------
 // [SECTION] Store era
 //
@@ -738,6 +826,7 @@
     std::map<std::string, SizeMean> m_sizes; ///< by route
     StoreClient m_store;
     RelayState m_relay;
+    SoftwareState m_software;
 
     NetListener m_frontListener;
     NetListener m_readyListener;
--- a/src/gateway_requests.cpp
+++ b/src/gateway_requests.cpp
@@ -67,6 +67,7 @@
               {"store", gateway.m_store.m_watch.m_progress.m_isInterrupted ? "interrupted" : "followed"},
               {"sent", fmt::format("{}", exchange.m_attempts.m_sent)},
               {"replica", exchange.m_attempt->m_replica},
+              {"software", exchange.m_softwareVersion.value_or("")},
               {"stages", describePlan(exchange)},
               {"restarts", fmt::format("{}", exchange.m_planRestarts)}});
 }
@@ -180,6 +181,10 @@
         failExchange(gateway, exchange, HTTP_STATUS_BAD_REQUEST, Reason::MalformedRequest);
         return false;
     }
+    if (takeUpForm(exchange) == TakeUpForm::Malformed) {
+        failExchange(gateway, exchange, HTTP_STATUS_BAD_REQUEST, Reason::MalformedRequest);
+        return false;
+    }
     if (gateway.m_draining && gatewayNow(gateway) - gateway.m_drainStartedAt > AdmissionTimeAfterSigterm) {
         refuseExchange(gateway, exchange, Reason::Draining);
         return false;
@@ -215,7 +220,9 @@
         return;
     }
     startDeadlineTimer(gateway, exchange, exchange.m_firstEventDeadline);
-    beginStages(gateway, exchange);
+    if (!beginTakeUp(gateway, exchange)) {
+        beginStages(gateway, exchange);
+    }
 }
 
 } // namespace
--- a/src/gateway_run.cpp
+++ b/src/gateway_run.cpp
@@ -71,6 +71,26 @@
              static_cast<double>(cold.m_invalidNumbers));
 }
 
+void addSoftwareMetrics(prometheus::Registry &registry, const Gateway &gateway)
+{
+    const SoftwareState &software = gateway.m_software;
+    auto &calls = prometheus::BuildCounter()
+                      .Name("medlarramp_stream_records_total")
+                      .Help("Records of the software versions of streams: writes, failed writes, reads; and streams taken up")
+                      .Register(registry);
+    calls.Add({{"event", "written"}}).Increment(static_cast<double>(software.m_recordWrites));
+    calls.Add({{"event", "failed"}}).Increment(static_cast<double>(software.m_recordFailures));
+    calls.Add({{"event", "read"}}).Increment(static_cast<double>(software.m_recordReads));
+    calls.Add({{"event", "taken_up"}}).Increment(static_cast<double>(software.m_takenUp));
+    auto &versions = prometheus::BuildGauge()
+                         .Name("medlarramp_software_versions")
+                         .Help("Software versions of the registered replicas, by service")
+                         .Register(registry);
+    for (const auto &[service, ids] : gateway.m_replicasByService) {
+        versions.Add({{"service", service}}).Set(static_cast<double>(countVersions(gateway.m_registry, service).size()));
+    }
+}
+
 std::string formatMetrics(const Gateway &gateway)
 {
     prometheus::Registry registry;
@@ -142,6 +162,7 @@
         evacuated.Add({{"failure_domain", failureDomain}}).Set(1);
     }
     addColdMetrics(registry, gateway);
+    addSoftwareMetrics(registry, gateway);
     auto &longPrompts = prometheus::BuildCounter()
                             .Name("medlarramp_long_prompts_total")
                             .Help("Long prompts placed, and those moved because of reports; reports sent, received and dropped")
@@ -349,6 +370,7 @@
     gossipRefusals(gateway);
     gossipRevision(gateway);
     renewSubscriptions(gateway);
+    keepSoftware(gateway);
     closeIdleUpstreams(gateway);
     if (gateway.m_draining) {
         continueDrain(gateway);
--- a/src/gateway_store.cpp
+++ b/src/gateway_store.cpp
@@ -131,14 +131,6 @@
     }
 }
 
-/** An answer that was received can't be read: the call counts as failed. */
-void recordUnreadableAnswer(Gateway &gateway, const StoreConnection &connection, int status)
-{
-    if (storeReplyOf(status) == StoreReply::Answered) {
-        recordStoreReply(gateway, connection, StoreReply::Refused, status);
-    }
-}
-
 /** The store was restored from a backup: reads it again, and replaces the lease, whose id may have been assigned to another client. */
 void enterEra(Gateway &gateway)
 {
@@ -176,8 +168,15 @@
     case EraStep::Begins:
         // The question was asked in an earlier era, so the answer means something else.
         recordStoreReply(gateway, connection, storeReplyOf(reader.m_status), reader.m_status);
-        releaseStoreCall(connection, keepAlive);
-        enterEra(gateway);
+        {
+            const auto callback = releaseStoreCall(connection, keepAlive);
+            const StoreClient &store = gateway.m_store;
+            const bool isStartedAgain = &connection == store.m_watch.m_connection || &connection == store.m_leaseConnection;
+            enterEra(gateway);
+            if (callback && !isStartedAgain) {
+                callback(0, "");
+            }
+        }
         return;
     case EraStep::Ignored:
         writeLog(LogLevel::Warning,
@@ -233,6 +232,8 @@
     };
 }
 
+} // namespace
+
 void callStore(Gateway &gateway,
                StoreConnection &connection,
                std::string_view call,
@@ -265,6 +266,25 @@
     });
 }
 
+StoreConnection *newStoreConnection()
+{
+    return new StoreConnection;
+}
+
+bool isCalling(const StoreConnection &connection)
+{
+    return connection.m_busy;
+}
+
+void recordUnreadableAnswer(Gateway &gateway, const StoreConnection &connection, int status)
+{
+    if (storeReplyOf(status) == StoreReply::Answered) {
+        recordStoreReply(gateway, connection, StoreReply::Refused, status);
+    }
+}
+
+namespace {
+
 /** Ends an open call without its callback and closes the connection. */
 void dropStoreCall(StoreConnection &connection)
 {
@@ -414,7 +434,11 @@
 {
     StoreClient &store = gateway.m_store;
     std::vector<std::pair<std::string, ListedMember>> listed;
+    replaceSoftwareItems(gateway, items);
     for (const Platform::StoreItem &item : items) {
+        if (startsWith(item.m_key, Platform::SoftwarePrefix)) {
+            continue;
+        }
         if (std::optional<Member> member = readMember(gateway, item)) {
             listed.emplace_back(item.m_key, ListedMember{std::move(*member), item.m_version, std::nullopt});
         }
@@ -488,6 +512,8 @@
         } else if (startsWith(item.m_key, Platform::EvacuationPrefix)) {
             applyEvacuation(gateway, item);
             replicasChanged = true;
+        } else if (startsWith(item.m_key, Platform::SoftwarePrefix)) {
+            applySoftwareItem(gateway, item);
         } else if (startsWith(item.m_key, Platform::MemberPrefix)) {
             applyMember(gateway, item);
             membersChanged = true;
@@ -962,8 +988,9 @@
 void startStore(Gateway &gateway)
 {
     StoreClient &store = gateway.m_store;
-    store.m_leaseConnection = new StoreConnection; // never freed: it is used until the process exits
-    store.m_watch.m_connection = new StoreConnection; // never freed: it is used until the process exits
+    store.m_leaseConnection = newStoreConnection();
+    store.m_watch.m_connection = newStoreConnection();
+    startSoftware(gateway);
     store.m_watch.m_interval = watchInterval(gateway.m_settings);
     startListing(gateway);
     renewLease(gateway);
--- a/src/gateway_upstreams.cpp
+++ b/src/gateway_upstreams.cpp
@@ -184,13 +184,17 @@
     }
 }
 
-/** Whether a call may be written now: meanwhile the replica may have turned out to leave, or have asked for a pause. */
+/**
+ * Whether a call may be written now: meanwhile the replica may have turned out to leave, have asked for a pause, or have come back with
+ * another software version.
+ */
 bool isWriteAllowed(const Gateway &gateway, const UpstreamCall &call)
 {
     const bool isPaused = gatewayNow(gateway) < pausedUntil(gateway.m_registry, call.m_replica);
     const bool isAllowed =
         call.m_isWork ? acceptsWork(gateway.m_registry, call.m_replica) : !isEvacuated(gateway.m_registry, call.m_replica);
-    return !isPaused && isAllowed;
+    const bool isPinned = !call.m_pin || mayWriteStream(gateway.m_registry, call.m_replica, *call.m_pin);
+    return !isPaused && isAllowed && isPinned;
 }
 
 /** @return false when the callback has cancelled the call and the connection is closed. */
@@ -495,8 +499,8 @@
     Upstream &upstream = gateway.m_upstreams.at(replica);
     prototype.m_replica = replica;
     reservePermit(gateway, prototype);
-    // Without a permit, the call is refused when its new connection is open, as this function must not end it.
-    const bool isSendable = !isWithheld(gateway, replica) || prototype.m_permit;
+    // Otherwise the call is refused when its new connection is open, as this function must not end it.
+    const bool isSendable = isWriteAllowed(gateway, prototype) && (!isWithheld(gateway, replica) || prototype.m_permit);
     UpstreamConnection *connection = isSendable ? takeIdle(gateway, upstream, prototype, use) : nullptr;
     const bool reused = connection != nullptr;
     if (!reused && !isWithinShare(gateway, upstream)) {
@@ -569,7 +573,8 @@
         }
         Upstream &upstream = gateway.m_upstreams[id];
         if (upstream.m_record.m_incarnationStart != replica.m_record.m_incarnationStart
-            || upstream.m_record.m_address != replica.m_record.m_address) {
+            || upstream.m_record.m_address != replica.m_record.m_address
+            || upstream.m_record.m_softwareVersion != replica.m_record.m_softwareVersion) {
             // A new incarnation: measurements of the previous one no longer apply.
             upstream.m_latency = 0;
             upstream.m_speed = SpeedEstimate();
--- a/src/serving.h
+++ b/src/serving.h
@@ -9,6 +9,7 @@
  *  [SECTION] Store versions the era and revision of what was read from the key-value store
  *  [SECTION] Store contact  whether the key-value store answers, and what is known from it
  *  [SECTION] Registry       the registered replicas, from the events of the key-value store
+ *  [SECTION] Software versions  which replicas may go on with a stream that has begun
  *  [SECTION] Membership     the live gateways and the owner of each service's queue
  *  [SECTION] Relays         answers of the watch that a few gateways pass on to the others
  *  [SECTION] Speed          how long work takes at a replica at this moment
@@ -354,6 +355,7 @@
     std::string m_service;
     std::string m_address; ///< "IP:PORT"
     std::string m_failureDomain;
+    std::string m_softwareVersion; ///< compared for equality only: versions have no order
     int m_slots = 1;
     bool m_draining = false;
     int64_t m_incarnationStart = 0; ///< start of the incarnation, Unix milliseconds
@@ -459,6 +461,140 @@
 /** "ready", "draining", "evacuated", "missing" (see usableReplicas()) or "unknown", for the log. */
 std::string_view describeReplica(const Registry &registry, const std::string &id);
 
+//-----------------------------------------------------------------------------
+// [SECTION] Software versions
+//
+// Replicas of several software versions may serve side by side, and what they write doesn't fit together: a stream goes on only at the
+// version that began it. The key-value store has, for each service, the usual version, and the streams that another version began,
+// written before their first event reaches the caller. A stream that is not found was therefore begun by the usual version. While that
+// changes, all streams are written, and one that is not found is unknown. See docs/design/software-versions.md.
+//
+// Load: 28 streams a second at 9 gateways, 500 at 295; all gateways killed at once, with up to some hundred streams taken up after it.
+//-----------------------------------------------------------------------------
+
+/** A stream can't be taken up any more when this time has passed since it began; at least the longest timeout of a resumable route. */
+constexpr Duration MinStreamLife = seconds(30);
+constexpr size_t MaxStreamRecords = 4096; ///< of one gateway; beyond these, requests are sent to the usual version only
+constexpr size_t MaxResumesBytes = 200; ///< limit on the name of a stream that is taken up
+
+/** The usual software version of a service. */
+struct UsualVersion {
+    int64_t m_era = 0; ///< of the store when it was written; of no use in a later one, as records may be lost
+    std::string m_version;
+    bool m_isSettled = false; ///< otherwise it is changing: all streams are written
+    StoreVersion m_write; ///< of the item in the store
+
+    bool operator==(const UsualVersion &) const = default;
+};
+
+/** What a gateway writes of its streams, or what it reads of those of all gateways: software versions by streamKey(). */
+using StreamVersions = std::unordered_map<uint64_t, std::string>;
+
+/**
+ * Key of a stream in the store. It depends on route and organisation, so that nothing can be learned about streams of others.
+ * @param attemptId the caller's id of the request that brought the first event
+ */
+uint64_t streamKey(std::string_view organisation, std::string_view route, std::string_view attemptId);
+
+/** What a request on a resumable route says of the stream that it takes up. */
+enum class TakeUpForm : uint8_t {
+    None, ///< it begins a stream
+    Named,
+    Unnamed, ///< it states the last event, but not the stream
+    Malformed,
+};
+
+/**
+ * @param resumes all names that the request states
+ * @param lastEvent as stated; nothing when it is not
+ */
+TakeUpForm classifyTakeUp(const std::vector<std::string_view> &resumes, std::optional<std::string_view> lastEvent);
+
+/** Numbers of registered replicas by software version, also of those that leave. */
+std::map<std::string, size_t> countVersions(const Registry &registry, const std::string &service);
+/** Whether streams of the version need no record by what is known. */
+bool isUsual(const UsualVersion *usual, const std::string &version, int64_t era);
+/**
+ * Whether the first event of a stream may be sent without a record. Not while the absence of one would be taken for the usual version
+ * and that could serve.
+ */
+bool mayGoUnrecorded(const UsualVersion *usual, const std::string &version, int64_t era, const std::map<std::string, size_t> &versions);
+
+/** What an attempt at a resumable stream relies on. */
+struct StreamPin {
+    std::string m_expected; ///< version of the replica when it was chosen
+    std::optional<std::string> m_begun; ///< version that began the stream, if it has begun
+
+    bool operator==(const StreamPin &) const = default;
+};
+
+/** Whether a replica may get an attempt now. Every write of such an attempt to a replica passes this function. */
+bool mayWriteStream(const Registry &registry, const std::string &replica, const StreamPin &pin);
+
+/** How a stream is taken up. */
+enum class TakeUpStep : uint8_t {
+    GoOn,
+    Unknown, ///< its version is not known
+    Left, ///< no replica of its version serves
+};
+
+struct TakeUp {
+    TakeUpStep m_step = TakeUpStep::Unknown;
+    std::string m_version; ///< unless it is unknown
+
+    bool operator==(const TakeUp &) const = default;
+};
+
+/**
+ * Decides from the records of all gateways, which have to be read after the request has arrived.
+ * @param key of the stream; nothing when the caller does not name it: then only one version may have begun streams
+ */
+TakeUp decideTakeUp(std::optional<uint64_t> key,
+                    const StreamVersions &records,
+                    const UsualVersion *usual,
+                    int64_t era,
+                    const std::map<std::string, size_t> &versions);
+
+/** The usual version to write for a service; nothing when it stays. */
+struct UsualChange {
+    std::string m_version;
+    bool m_isSettled = false;
+
+    bool operator==(const UsualChange &) const = default;
+};
+
+/**
+ * @param knownFor time for which this gateway has known @p usual, or for which it has been started when there is none
+ * @param missingFor time for which no replica of the usual version was registered
+ */
+std::optional<UsualChange> decideUsualVersion(const UsualVersion *usual,
+                                              int64_t era,
+                                              const std::map<std::string, size_t> &versions,
+                                              Duration knownFor,
+                                              Duration missingFor,
+                                              Duration streamLife);
+
+/** The usual version is replaced when no replica of it was registered for this time: above the one for which lapsed ones are waited for. */
+constexpr Duration UsualMissingTime = seconds(5);
+constexpr Duration UsualFirstTime = milliseconds(1000); ///< after the start of a gateway, in which it learns of the others
+
+/** The streams of this gateway that are written, and the write that is open. */
+struct StreamRecords {
+    struct Entry {
+        std::string m_version;
+        TimePoint m_expiresAt;
+    };
+    std::unordered_map<uint64_t, Entry> m_entries;
+    std::vector<uint64_t> m_writing; ///< numbers of the requests that wait for the open write
+    std::vector<uint64_t> m_waiting; ///< and for the next one: many streams share a write
+    int64_t m_revision = 0; ///< of the item in the store; 0: it does not exist
+    int m_attempts = 0; ///< of the open write
+};
+
+void addStreamRecord(StreamRecords &records, uint64_t key, const std::string &version, Duration streamLife, TimePoint now);
+/** What is to be written. Streams that can't be taken up any more are removed. */
+StreamVersions currentRecords(StreamRecords &records, TimePoint now);
+
 //-----------------------------------------------------------------------------
 // [SECTION] Membership
 //-----------------------------------------------------------------------------
--- a/tests/test_gateway_faults.cpp
+++ b/tests/test_gateway_faults.cpp
@@ -695,7 +695,7 @@
         second.start(harness.m_loop, answerOk);
         harness.m_store.put("servers/odd-0", std::string(100'000, '['));
         const GatewayHarness::Process &gateway = startServing(harness, {{"i-1", "plain", &first}});
-        const std::string start = R"({"service":"plain","address":"127.0.0.1:1","zone":"z1","state":"ready","slots":)";
+        const std::string start = R"({"service":"plain","address":"127.0.0.1:1","zone":"z1","version":"v1","state":"ready","slots":)";
         const std::string odd[] = {std::string(100'000, '{'), start + "1e300}", start + "1", "\xff\xfe", std::string(3'000'000, 'x'), ""};
         for (size_t i = 0; i < std::size(odd); ++i) {
             harness.m_store.put(fmt::format("servers/odd-{}", i + 1), odd[i]);
--- a/tests/test_platform.cpp
+++ b/tests/test_platform.cpp
@@ -39,7 +39,7 @@
     {
         const std::string nested(100'000, '[');
         for (const std::string odd : {"1e300", "-1e300", "-1", "18446744073709551616", "\"1\"", "null", "[]", nested.c_str()}) {
-            const std::string replica = R"({"service":"s","address":"1.2.3.4:80","zone":"z","state":"ready","slots":)";
+            const std::string replica = R"({"service":"s","address":"1.2.3.4:80","zone":"z","version":"v1","state":"ready","slots":)";
             CPPUNIT_ASSERT_MESSAGE(odd, !Platform::decodeRegistration("i-1", replica + odd + "}").ok());
             const std::string member = R"({"node":"n","address":"1.2.3.4:80","failure_domain":"z","incarnation":1,"weight":)";
             CPPUNIT_ASSERT_MESSAGE(odd, !Platform::decodeMember(member + odd + "}").ok());
@@ -47,7 +47,9 @@
             CPPUNIT_ASSERT_MESSAGE(odd, !Platform::decodeMember(incarnation + odd + "}").ok());
         }
         const auto decode = [](const std::string &fields) {
-            return Platform::decodeRegistration("i-1", R"({"service":"s","zone":"z","state":"ready","slots":1,)" + fields + "}").ok();
+            return Platform::decodeRegistration("i-1",
+                                                R"({"service":"s","zone":"z","version":"v1","state":"ready","slots":1,)" + fields + "}")
+                .ok();
         };
         CPPUNIT_ASSERT(decode(R"("address":"1.2.3.4:80","born":1,"cold_left_ms":0)"));
         CPPUNIT_ASSERT(!decode(R"("address":"1.2.3.4:80","born":18446744073709551615)"));
@@ -120,6 +122,7 @@
             R"({"service":"s","address":"10.0.0.9:8080","zone":"z1","version":"v1","slots":64,"state":"draining","cold_left_ms":250,"sequence":4,"born":1700000000000})");
         CPPUNIT_ASSERT(record.ok());
         CPPUNIT_ASSERT(record->m_id == "i-1" && record->m_draining && record->m_failureDomain == "z1" && record->m_slots == 64);
+        CPPUNIT_ASSERT(record->m_softwareVersion == "v1");
         CPPUNIT_ASSERT(record->m_warmUpLeft == milliseconds(250) && record->m_incarnationStart == 1'700'000'000'000);
     }
 
@@ -129,13 +132,15 @@
         for (const char *text : {
                  "",
                  "null",
-                 R"({"service":"s","address":"10.0.0.9:8080","zone":"z1","slots":64})",
-                 R"({"service":"s","address":"10.0.0.9:8080","zone":"z1","slots":64,"state":"leaving"})",
-                 R"({"service":"s","address":"host:8080","zone":"z1","slots":64,"state":"ready"})",
-                 R"({"service":"s","address":"10.0.0.9:99999","zone":"z1","slots":64,"state":"ready"})",
-                 R"({"service":["s"],"address":"10.0.0.9:8080","zone":"z1","slots":64,"state":"ready"})",
-                 R"({"service":"s","address":"10.0.0.9:8080","zone":"z1","slots":"64","state":"ready"})",
-                 R"({"service":"s","address":"10.0.0.9:8080","zone":"z1","slots":64,"state":"ready","born":1.5})",
+                 R"({"service":"s","address":"10.0.0.9:8080","zone":"z1","version":"v1","slots":64})",
+                 R"({"service":"s","address":"10.0.0.9:8080","zone":"z1","version":"v1","slots":64,"state":"leaving"})",
+                 R"({"service":"s","address":"host:8080","zone":"z1","version":"v1","slots":64,"state":"ready"})",
+                 R"({"service":"s","address":"10.0.0.9:99999","zone":"z1","version":"v1","slots":64,"state":"ready"})",
+                 R"({"service":["s"],"address":"10.0.0.9:8080","zone":"z1","version":"v1","slots":64,"state":"ready"})",
+                 R"({"service":"s","address":"10.0.0.9:8080","zone":"z1","version":"v1","slots":"64","state":"ready"})",
+                 R"({"service":"s","address":"10.0.0.9:8080","zone":"z1","version":"v1","slots":64,"state":"ready","born":1.5})",
+                 R"({"service":"s","address":"10.0.0.9:8080","zone":"z1","slots":64,"state":"ready"})",
+                 R"({"service":"s","address":"10.0.0.9:8080","zone":"z1","version":1,"slots":64,"state":"ready"})",
              }) {
             CPPUNIT_ASSERT_MESSAGE(text, !Platform::decodeRegistration("i-1", text).ok());
         }
