Hold a stream's events until its record is written, also after its attempt was replaced

Found by reading: an attempt that was dropped (memory bound) while its stream was being recorded was followed by another one whose events went out before the record was in the store; a take-up would then have been joined to the usual version (ORDER).

--- a/src/gateway_attempts.cpp
+++ b/src/gateway_attempts.cpp
@@ -36,11 +36,12 @@
     const size_t index = memberIndex(gateway);
     const TimePoint now = gatewayNow(gateway);
     const bool learnsSpeed = learnsEngineSpeed(gateway, exchange);
+    const std::optional<std::string> required = requiredVersion(gateway, exchange);
     for (const std::string &id : ids) {
-        if (!isVersionUsable(gateway, exchange, id)) {
+        const Upstream &upstream = gateway.m_upstreams.at(id);
+        if (required && upstream.m_record.m_softwareVersion != *required) {
             continue;
         }
-        const Upstream &upstream = gateway.m_upstreams.at(id);
         const bool hasIdle = hasReusable(gateway, upstream, connectionUse(exchange), scarce);
         const bool mayOpen = mayConnect(upstream.m_connects, now) && isWithinShare(gateway, upstream);
         if (now < pausedUntil(gateway.m_registry, id) || !(hasIdle || mayOpen)) {
@@ -603,16 +604,19 @@
 
 void continueStream(Gateway &gateway, Exchange &exchange)
 {
+    if (!exchange.m_attempt->m_held) {
+        return; // the attempt has ended meanwhile
+    }
     const HeldAnswer held = std::move(*exchange.m_attempt->m_held);
     exchange.m_attempt->m_held.reset();
-    const std::string events = takeEvents(exchange);
-    if (!events.empty()) {
+    if (!held.m_end) {
+        pauseHeldCall(gateway, exchange, false);
+    }
+    if (const std::string events = takeEvents(exchange); !events.empty()) {
         beginAnswer(gateway, exchange, held.m_status, held.m_headers, events);
     }
     if (held.m_end) {
         endStreamAttempt(gateway, exchange, *held.m_end);
-    } else {
-        pauseHeldCall(gateway, exchange, false);
     }
 }
 
--- a/src/gateway_internal.h
+++ b/src/gateway_internal.h
@@ -276,6 +276,7 @@
     int64_t m_lastEvent = 0; ///< id of the last event sent to the caller
     bool m_hasLastEvent = false;
     std::optional<std::string> m_softwareVersion; ///< of a resumable stream that has begun, here or before it was taken up
+    bool m_isRecording = false; ///< no event may be sent before the version has been recorded
 };
 
 void handleRequest(Gateway &gateway, CallerConnection &caller);
@@ -727,8 +728,8 @@
  * @return false when the event has to be held until continueStream()
  */
 bool fixVersion(Gateway &gateway, Exchange &exchange);
-/** Whether a replica may be chosen for a request by its software version. */
-bool isVersionUsable(Gateway &gateway, const Exchange &exchange, const std::string &replica);
+/** The only version whose replicas may be chosen for a request; nothing when it may be any. */
+std::optional<std::string> requiredVersion(const Gateway &gateway, const Exchange &exchange);
 /** Whether the stream of a request can't go on, as no replica of its version gets work. */
 bool hasVersionLeft(Gateway &gateway, const Exchange &exchange);
 /** Applies a change below SoftwarePrefix. */
--- a/src/gateway_versions.cpp
+++ b/src/gateway_versions.cpp
@@ -27,7 +27,7 @@
 bool isStoreLost(const Gateway &gateway)
 {
     const StoreContact &contact = gateway.m_store.m_contact;
-    return !contact.m_isAvailable && contact.m_failures > 0;
+    return !contact.m_isAvailable && contact.m_failures > 1; // one failure may concern a single connection
 }
 
 const UsualVersion *usualVersion(const Gateway &gateway, const std::string &service)
@@ -56,10 +56,9 @@
     return streamKey(organisationOf(exchange), exchange.m_route->m_name, attemptId);
 }
 
-std::string ownRecordKey(const Gateway &gateway)
+std::string recordKey(const Member &member)
 {
-    const Member &self = gateway.m_membership.m_self;
-    return fmt::format("{}{}/{:x}", Platform::StreamRecordPrefix, self.m_node, self.m_incarnation);
+    return fmt::format("{}{}/{:x}", Platform::StreamRecordPrefix, member.m_node, member.m_incarnation);
 }
 
 bool startsWith(const std::string &text, std::string_view prefix)
@@ -90,9 +89,10 @@
 {
     for (const uint64_t number : std::exchange(gateway.m_software.m_records.m_writing, {})) {
         Exchange *exchange = findExchange(gateway, number);
-        if (exchange == nullptr || !exchange->m_attempt->m_held) {
+        if (exchange == nullptr) {
             continue;
         }
+        exchange->m_isRecording = false;
         if (isWritten || maySendUnrecorded(gateway, *exchange, *exchange->m_softwareVersion)) {
             continueStream(gateway, *exchange);
         } else {
@@ -112,7 +112,7 @@
     } else if (records.m_attempts < MaxRecordAttempts) {
         if (status == HTTP_STATUS_PRECONDITION_FAILED) {
             // A write without an answer was executed.
-            records.m_revision = Platform::decodeConflict(body, ownRecordKey(gateway)).value_or(0);
+            records.m_revision = Platform::decodeConflict(body, recordKey(gateway.m_membership.m_self)).value_or(0);
         }
         software.m_recordTimer.start(gateway.m_loop, RecordRetryDelay, [&gateway] { writeRecords(gateway); });
         return;
@@ -144,7 +144,7 @@
     records.m_waiting.clear();
     software.m_recordWrites += 1;
     const StreamVersions current = currentRecords(records, gatewayNow(gateway));
-    const Platform::KeyRevision key{ownRecordKey(gateway), records.m_revision};
+    const Platform::KeyRevision key{recordKey(gateway.m_membership.m_self), records.m_revision};
     const std::string body = current.empty() ? Platform::formatRemoveBody({key})
                                              : Platform::formatPutBody(key, Platform::encodeStreamRecords(current, currentEra(gateway)));
     callStore(gateway,
@@ -361,12 +361,13 @@
     return false;
 }
 
-bool isMemberKey(const Gateway &gateway, const std::string &key)
+std::set<std::string> memberRecordKeys(const Gateway &gateway)
 {
-    const auto &members = gateway.m_membership.m_members;
-    return std::any_of(members.begin(), members.end(), [&key](const auto &entry) {
-        return key == fmt::format("{}{}/{:x}", Platform::StreamRecordPrefix, entry.first, entry.second.m_incarnation);
-    });
+    std::set<std::string> keys;
+    for (const auto &[node, member] : gateway.m_membership.m_members) {
+        keys.insert(recordKey(member));
+    }
+    return keys;
 }
 
 /** Removes the records of processes that have been gone for longer than their streams can be taken up. */
@@ -374,8 +375,9 @@
 {
     const TimePoint now = gatewayNow(gateway);
     std::vector<Platform::KeyRevision> removed;
+    const std::set<std::string> live = gateway.m_software.m_items.empty() ? std::set<std::string>() : memberRecordKeys(gateway);
     for (auto &[key, item] : gateway.m_software.m_items) {
-        if (isMemberKey(gateway, key)) {
+        if (live.contains(key)) {
             item.m_orphanedSince.reset();
             continue;
         }
@@ -440,7 +442,7 @@
 bool fixVersion(Gateway &gateway, Exchange &exchange)
 {
     if (!isResumable(exchange) || exchange.m_softwareVersion) {
-        return true;
+        return !exchange.m_isRecording; // an attempt may have been replaced while its stream was being recorded
     }
     const std::string &version = exchange.m_attempt->m_softwareVersion;
     exchange.m_softwareVersion = version;
@@ -450,30 +452,32 @@
     StreamRecords &records = gateway.m_software.m_records;
     addStreamRecord(records, keyOf(exchange, exchange.m_attemptId), version, streamLife(gateway), gatewayNow(gateway));
     records.m_waiting.push_back(exchange.m_number);
+    exchange.m_isRecording = true;
     if (!gateway.m_software.m_recordTimer.isActive()) {
         writeRecords(gateway);
     }
     return false;
 }
 
-bool isVersionUsable(Gateway &gateway, const Exchange &exchange, const std::string &replica)
+std::optional<std::string> requiredVersion(const Gateway &gateway, const Exchange &exchange)
 {
     if (!isResumable(exchange)) {
-        return true;
-    }
-    const std::string &version = gateway.m_upstreams.at(replica).m_record.m_softwareVersion;
-    if (exchange.m_softwareVersion) {
-        return version == *exchange.m_softwareVersion;
+        return std::nullopt;
     }
     const bool canRecord = !isStoreLost(gateway) && gateway.m_software.m_records.m_entries.size() < MaxStreamRecords;
-    return canRecord || maySendUnrecorded(gateway, exchange, version);
+    if (exchange.m_softwareVersion || canRecord) {
+        return exchange.m_softwareVersion;
+    }
+    const std::map<std::string, size_t> versions = countVersions(gateway.m_registry, exchange.m_service);
+    return requiredVersion(std::nullopt, canRecord, usualVersion(gateway, exchange.m_service), currentEra(gateway), versions);
 }
 
 bool hasVersionLeft(Gateway &gateway, const Exchange &exchange)
 {
     const std::vector<std::string> &ids = gateway.m_replicasByService[exchange.m_service];
-    return exchange.m_softwareVersion
-        && std::none_of(ids.begin(), ids.end(), [&](const std::string &id) { return isVersionUsable(gateway, exchange, id); });
+    return exchange.m_softwareVersion && std::none_of(ids.begin(), ids.end(), [&](const std::string &id) {
+               return gateway.m_upstreams.at(id).m_record.m_softwareVersion == *exchange.m_softwareVersion;
+           });
 }
 
 void applySoftwareItem(Gateway &gateway, const Platform::StoreItem &item)
--- a/src/serving.h
+++ b/src/serving.h
@@ -520,6 +520,17 @@
  */
 bool mayGoUnrecorded(const UsualVersion *usual, const std::string &version, int64_t era, const std::map<std::string, size_t> &versions);
 
+/**
+ * The only version whose replicas may be chosen for a request on a resumable route; nothing when it may be any.
+ * @param begun version that began the stream, if it has begun
+ * @param canRecord whether the version of a new stream can be recorded
+ */
+std::optional<std::string> requiredVersion(const std::optional<std::string> &begun,
+                                           bool canRecord,
+                                           const UsualVersion *usual,
+                                           int64_t era,
+                                           const std::map<std::string, size_t> &versions);
+
 /** What an attempt at a resumable stream relies on. */
 struct StreamPin {
     std::string m_expected; ///< version of the replica when it was chosen
--- a/src/serving_versions.cpp
+++ b/src/serving_versions.cpp
@@ -81,6 +81,19 @@
     return !isValid(usual, era) || usual->m_version == version || countOf(versions, usual->m_version) == 0;
 }
 
+std::optional<std::string> requiredVersion(const std::optional<std::string> &begun,
+                                           bool canRecord,
+                                           const UsualVersion *usual,
+                                           int64_t era,
+                                           const std::map<std::string, size_t> &versions)
+{
+    if (begun || canRecord) {
+        return begun;
+    }
+    const bool isServing = isValid(usual, era) && countOf(versions, usual->m_version) > 0;
+    return isServing ? std::optional(usual->m_version) : std::nullopt;
+}
+
 TakeUp decideTakeUp(std::optional<uint64_t> key,
                     const StreamVersions &records,
                     const UsualVersion *usual,
--- a/tests/test_stream_versions.cpp
+++ b/tests/test_stream_versions.cpp
@@ -194,6 +194,7 @@
     CPPUNIT_TEST(absentRecordMeansTheUsualVersionOnlyWhenSettled);
     CPPUNIT_TEST(restoredStoreIsNotTrusted);
     CPPUNIT_TEST(usualVersionDoesNotChangeWhileItsStreamsLive);
+    CPPUNIT_TEST(streamsThatCantBeRecordedAreBegunAtTheUsualVersion);
     CPPUNIT_TEST(replicaThatComesBackWithAnotherVersionGetsNoOldStream);
     CPPUNIT_TEST(namesOfStreamsAreChecked);
     CPPUNIT_TEST(streamsOfOthersAreNotFound);
@@ -271,6 +272,20 @@
         CPPUNIT_ASSERT(!decideUsualVersion(&usual, 0, {}, seconds(100), seconds(100), MinStreamLife));
     }
 
+    // Guards against a stream that is taken for one of the usual version because its record could not be written.
+    void streamsThatCantBeRecordedAreBegunAtTheUsualVersion()
+    {
+        const UsualVersion usual = settled("v1");
+        const std::map<std::string, size_t> versions = {{"v1", 2}, {"v2", 2}};
+        CPPUNIT_ASSERT(!requiredVersion(std::nullopt, true, &usual, 0, versions));
+        CPPUNIT_ASSERT(requiredVersion(std::nullopt, false, &usual, 0, versions) == "v1");
+        CPPUNIT_ASSERT(requiredVersion("v2", false, &usual, 0, versions) == "v2");
+        CPPUNIT_ASSERT(!requiredVersion(std::nullopt, false, &usual, 0, {{"v2", 2}})); // none is taken for the usual one
+        CPPUNIT_ASSERT(!mayGoUnrecorded(&usual, "v2", 0, versions));
+        CPPUNIT_ASSERT(mayGoUnrecorded(&usual, "v2", 0, {{"v2", 2}}));
+        CPPUNIT_ASSERT(mayGoUnrecorded(nullptr, "v2", 0, versions));
+    }
+
     // Guards against a write that relies on the version that a replica had when it was chosen.
     void replicaThatComesBackWithAnotherVersionGetsNoOldStream()
     {
