Tell callers in time that a stream could not be recorded

Cause: a write without an answer was repeated twice, and new streams went to the unusual version until two calls had failed.

Change: canRecord() leaves the unusual version out once a write has been open for 200 ms; a write is repeated for 0.8 s at most, so that a connection that was reset is made good and a silent store is not waited for. The request still ends with 502: the write may be executed later, so it can't be run at the usual version at once; the caller's next request finds that version.

--- a/src/gateway_versions.cpp
+++ b/src/gateway_versions.cpp
@@ -11,7 +11,6 @@
 constexpr std::string_view RecordCall = "record"; ///< names of calls in the log
 constexpr std::string_view LookupCall = "lookup";
 constexpr std::string_view KeepCall = "usual";
-constexpr int MaxRecordAttempts = 3; ///< of one write; a call without an answer may have been executed
 constexpr Duration RecordRetryDelay = milliseconds(50);
 /** Beyond the life of a stream: a process that lost its membership may not have noticed it yet. */
 constexpr Duration OrphanMargin = seconds(10);
@@ -107,9 +106,8 @@
     StreamRecords &records = software.m_records;
     if (status == HTTP_STATUS_OK) {
         records.m_revision = Platform::decodeRevision(body).value_or(0);
-        records.m_attempts = 0;
         releaseRecorded(gateway, true);
-    } else if (records.m_attempts < MaxRecordAttempts) {
+    } else if (mayRepeatRecord(records, gatewayNow(gateway))) {
         if (status == HTTP_STATUS_PRECONDITION_FAILED) {
             // A write without an answer was executed.
             records.m_revision = Platform::decodeConflict(body, recordKey(gateway.m_membership.m_self)).value_or(0);
@@ -122,7 +120,6 @@
                  "versions",
                  "Software versions of streams could not be recorded.",
                  {{"status", fmt::format("{}", status)}, {"streams", fmt::format("{}", records.m_writing.size())}});
-        records.m_attempts = 0;
         releaseRecorded(gateway, false);
     }
     if (!records.m_waiting.empty()) {
@@ -139,7 +136,9 @@
         return;
     }
     software.m_recordTimer.stop();
-    records.m_attempts += 1;
+    if (records.m_writing.empty()) {
+        records.m_writeSince = gatewayNow(gateway);
+    }
     std::move(records.m_waiting.begin(), records.m_waiting.end(), std::back_inserter(records.m_writing));
     records.m_waiting.clear();
     software.m_recordWrites += 1;
@@ -464,12 +463,12 @@
     if (!isResumable(exchange)) {
         return std::nullopt;
     }
-    const bool canRecord = !isStoreLost(gateway) && gateway.m_software.m_records.m_entries.size() < MaxStreamRecords;
-    if (exchange.m_softwareVersion || canRecord) {
+    const bool isRecordable = !isStoreLost(gateway) && canRecord(gateway.m_software.m_records, gatewayNow(gateway));
+    if (exchange.m_softwareVersion || isRecordable) {
         return exchange.m_softwareVersion;
     }
     const std::map<std::string, size_t> versions = countVersions(gateway.m_registry, exchange.m_service);
-    return requiredVersion(std::nullopt, canRecord, usualVersion(gateway, exchange.m_service), currentEra(gateway), versions);
+    return requiredVersion(std::nullopt, isRecordable, usualVersion(gateway, exchange.m_service), currentEra(gateway), versions);
 }
 
 bool hasVersionLeft(Gateway &gateway, const Exchange &exchange)
--- a/src/serving.h
+++ b/src/serving.h
@@ -599,9 +599,17 @@
     std::vector<uint64_t> m_writing; ///< numbers of the requests that wait for the open write
     std::vector<uint64_t> m_waiting; ///< and for the next one: many streams share a write
     int64_t m_revision = 0; ///< of the item in the store; 0: it does not exist
-    int m_attempts = 0; ///< of the open write
+    TimePoint m_writeSince; ///< first attempt of the open write
 };
 
+constexpr Duration SlowRecordTime = milliseconds(200); ///< a write that is open for longer may never be answered
+/** Failed writes are repeated for this time; then callers are told, so that their next request is sent to the usual version in time. */
+constexpr Duration RecordTimeLimit = StoreProbeTimeout;
+
+/** Whether a stream that begins now can be recorded soon. */
+bool canRecord(const StreamRecords &records, TimePoint now);
+bool mayRepeatRecord(const StreamRecords &records, TimePoint now);
+
 void addStreamRecord(StreamRecords &records, uint64_t key, const std::string &version, Duration streamLife, TimePoint now);
 /** What is to be written. Streams that can't be taken up any more are removed. */
 StreamVersions currentRecords(StreamRecords &records, TimePoint now);
--- a/src/serving_versions.cpp
+++ b/src/serving_versions.cpp
@@ -140,6 +140,17 @@
     records.m_entries[key] = {version, now + streamLife};
 }
 
+bool canRecord(const StreamRecords &records, TimePoint now)
+{
+    const bool isSlow = !records.m_writing.empty() && now - records.m_writeSince > SlowRecordTime;
+    return !isSlow && records.m_entries.size() < MaxStreamRecords;
+}
+
+bool mayRepeatRecord(const StreamRecords &records, TimePoint now)
+{
+    return now - records.m_writeSince < RecordTimeLimit;
+}
+
 StreamVersions currentRecords(StreamRecords &records, TimePoint now)
 {
     std::erase_if(records.m_entries, [now](const auto &entry) { return entry.second.m_expiresAt <= now; });
--- a/tests/test_soak.cpp
+++ b/tests/test_soak.cpp
@@ -194,6 +194,9 @@
         const TimePoint current = now(soak.m_harness.m_clock);
         if (soak.m_harness.m_store.m_isSilent && current >= soak.m_storeBackAt) {
             soak.m_harness.m_store.m_isSilent = false;
+            if (nextRandom(soak.m_random) % 2 == 0) {
+                soak.m_harness.m_store.lapseLeases();
+            }
         }
         restartExited(soak);
         if (current >= next) {
--- a/tests/test_stream_versions.cpp
+++ b/tests/test_stream_versions.cpp
@@ -195,6 +195,7 @@
     CPPUNIT_TEST(restoredStoreIsNotTrusted);
     CPPUNIT_TEST(usualVersionDoesNotChangeWhileItsStreamsLive);
     CPPUNIT_TEST(streamsThatCantBeRecordedAreBegunAtTheUsualVersion);
+    CPPUNIT_TEST(slowWriteKeepsStreamsFromUnusualVersions);
     CPPUNIT_TEST(replicaThatComesBackWithAnotherVersionGetsNoOldStream);
     CPPUNIT_TEST(namesOfStreamsAreChecked);
     CPPUNIT_TEST(streamsOfOthersAreNotFound);
@@ -286,6 +287,20 @@
         CPPUNIT_ASSERT(mayGoUnrecorded(nullptr, "v2", 0, versions));
     }
 
+    // Guards against streams that wait for a store that does not answer, and against callers that are told too late.
+    void slowWriteKeepsStreamsFromUnusualVersions()
+    {
+        const TimePoint start = TimePoint() + seconds(100);
+        StreamRecords records;
+        CPPUNIT_ASSERT(canRecord(records, start));
+        records.m_writing = {1};
+        records.m_writeSince = start;
+        CPPUNIT_ASSERT(canRecord(records, start + milliseconds(50)));
+        CPPUNIT_ASSERT(!canRecord(records, start + milliseconds(250)));
+        CPPUNIT_ASSERT(mayRepeatRecord(records, start + milliseconds(50)));
+        CPPUNIT_ASSERT(!mayRepeatRecord(records, start + seconds(1)));
+    }
+
     // Guards against a write that relies on the version that a replica had when it was chosen.
     void replicaThatComesBackWithAnotherVersionGetsNoOldStream()
     {
