--- a/tests/test_cold.cpp
+++ b/tests/test_cold.cpp
@@ -628,7 +628,8 @@
             CPPUNIT_ASSERT_MESSAGE(odd, configuration->m_services.at("s").m_coldTime == Duration(0));
             CPPUNIT_ASSERT_MESSAGE(odd, configuration->m_services.at("s").m_coldPerSecond == 14);
             const absl::StatusOr<ReplicaRecord> replica = Platform::decodeRegistration(
-                "i-1", R"({"service":"s","address":"1.2.3.4:80","zone":"z","version":"v1","state":"ready","slots":1,"cold_left_ms":)" + odd + "}");
+                "i-1",
+                R"({"service":"s","address":"1.2.3.4:80","zone":"z","version":"v1","state":"ready","slots":1,"cold_left_ms":)" + odd + "}");
             CPPUNIT_ASSERT_MESSAGE(odd, replica.ok() && replica->m_hasInvalidWarmUp && replica->m_warmUpLeft == Duration(0));
         }
         const absl::StatusOr<ServingConfiguration> configuration = Platform::decodeConfiguration(
--- a/tests/test_gateway.cpp
+++ b/tests/test_gateway.cpp
@@ -427,9 +427,11 @@
         FakeServer replica;
         replica.start(harness.m_loop, answerOk);
         harness.m_store.put("servers/i-0", "not json");
-        harness.m_store.put("servers/i-2", R"({"service":"plain","address":"nowhere","zone":"z","version":"v1","slots":1,"state":"ready"})");
+        harness.m_store.put("servers/i-2",
+                            R"({"service":"plain","address":"nowhere","zone":"z","version":"v1","slots":1,"state":"ready"})");
         harness.m_store.put("servers/i-3", R"({"service":7,"address":"127.0.0.1:1","zone":"z","version":"v1","slots":1,"state":"ready"})");
-        harness.m_store.put("servers/i-4", R"({"service":"plain","address":"127.0.0.1:1","zone":"z","version":"v1","slots":1,"state":"odd"})");
+        harness.m_store.put("servers/i-4",
+                            R"({"service":"plain","address":"127.0.0.1:1","zone":"z","version":"v1","slots":1,"state":"odd"})");
         const GatewayHarness::Process &gateway = startServing(harness, {{"i-1", "plain", &replica}});
         for (int i = 0; i < 5; ++i) {
             Caller &caller = harness.send(gateway, "POST", "/plain/1", fmt::format("a{}", i));
