--- a/src/gateway_store.cpp
+++ b/src/gateway_store.cpp
@@ -152,6 +152,20 @@
     }
 }
 
+/** Ends a call whose answer begins a new era. The question was asked in an earlier one, so that the answer means something else. */
+void endCallOfEarlierEra(Gateway &gateway, StoreConnection &connection, bool keepAlive)
+{
+    const StoreClient &store = gateway.m_store;
+    const int status = connection.m_reader.m_status;
+    recordStoreReply(gateway, connection, storeReplyOf(status), status);
+    const auto callback = releaseStoreCall(connection, keepAlive);
+    enterEra(gateway);
+    const bool isStartedAgain = &connection == store.m_watch.m_connection || &connection == store.m_leaseConnection;
+    if (callback && !isStartedAgain) {
+        callback(0, "");
+    }
+}
+
 /** Ends a call with the answer that has been read, according to the era of the answer. */
 void finishAnswer(Gateway &gateway, StoreConnection &connection)
 {
@@ -166,17 +180,7 @@
         return;
     }
     case EraStep::Begins:
-        // The question was asked in an earlier era, so the answer means something else.
-        recordStoreReply(gateway, connection, storeReplyOf(reader.m_status), reader.m_status);
-        {
-            const auto callback = releaseStoreCall(connection, keepAlive);
-            const StoreClient &store = gateway.m_store;
-            const bool isStartedAgain = &connection == store.m_watch.m_connection || &connection == store.m_leaseConnection;
-            enterEra(gateway);
-            if (callback && !isStartedAgain) {
-                callback(0, "");
-            }
-        }
+        endCallOfEarlierEra(gateway, connection, keepAlive);
         return;
     case EraStep::Ignored:
         writeLog(LogLevel::Warning,
--- a/src/gateway_versions.cpp
+++ b/src/gateway_versions.cpp
@@ -60,11 +60,6 @@
     return fmt::format("{}{}/{:x}", Platform::StreamRecordPrefix, member.m_node, member.m_incarnation);
 }
 
-bool startsWith(const std::string &text, std::string_view prefix)
-{
-    return text.compare(0, prefix.size(), prefix) == 0;
-}
-
 void rejectItem(Gateway &gateway, const Platform::StoreItem &item, const absl::Status &status)
 {
     gateway.m_invalidItems += 1;
@@ -175,14 +170,14 @@
 {
     SoftwareRecords records;
     for (const Platform::StoreItem &item : items) {
-        if (startsWith(item.m_key, Platform::UsualVersionPrefix)) {
+        if (item.m_key.starts_with(Platform::UsualVersionPrefix)) {
             absl::StatusOr<UsualVersion> usual = Platform::decodeUsualVersion(item.m_value, item.m_version);
             if (usual.ok()) {
                 records.m_usual[item.m_key.substr(Platform::UsualVersionPrefix.size())] = std::move(*usual);
             } else {
                 rejectItem(gateway, item, usual.status());
             }
-        } else if (startsWith(item.m_key, Platform::StreamRecordPrefix)) {
+        } else if (item.m_key.starts_with(Platform::StreamRecordPrefix)) {
             absl::StatusOr<StreamVersions> streams = Platform::decodeStreamRecords(item.m_value, currentEra(gateway));
             if (streams.ok()) {
                 records.m_streams.merge(*streams);
@@ -482,11 +477,11 @@
 void applySoftwareItem(Gateway &gateway, const Platform::StoreItem &item)
 {
     std::map<std::string, RecordItem> &items = gateway.m_software.m_items;
-    if (startsWith(item.m_key, Platform::UsualVersionPrefix)) {
+    if (item.m_key.starts_with(Platform::UsualVersionPrefix)) {
         applyUsual(gateway, item);
-    } else if (startsWith(item.m_key, Platform::StreamRecordPrefix) && item.m_removed) {
+    } else if (item.m_key.starts_with(Platform::StreamRecordPrefix) && item.m_removed) {
         items.erase(item.m_key);
-    } else if (startsWith(item.m_key, Platform::StreamRecordPrefix)) {
+    } else if (item.m_key.starts_with(Platform::StreamRecordPrefix)) {
         items[item.m_key].m_revision = item.m_version.revision();
     }
 }
