Don't relay records of streams to gateways that follow a watch

Found by reading: while versions are mixed, the records of 91 gateways come to over 100 KB a second (worked out), above the 64 KB up to which watchers pass an answer on. Each follower would have read it from the store itself, on links of 10 Mbit/s, and what the relayed watch saves would have been lost just then. Followers need no records, as a take-up reads them from the store.

Change: relayed answers leave them out. Orphaned records are removed by a gateway that watches itself, and a removal that finds another revision forgets what it knew.

--- a/src/gateway_internal.h
+++ b/src/gateway_internal.h
@@ -700,7 +700,7 @@
 struct SoftwareState {
     std::map<std::string, UsualView> m_usual; ///< by service
     std::map<std::string, TimePoint> m_missingSince; ///< by service: no replica of the usual version is registered
-    std::map<std::string, RecordItem> m_items; ///< by key
+    std::map<std::string, RecordItem> m_items; ///< by key; at gateways that watch the store themselves
     StreamRecords m_records;
     NetTimer m_recordTimer; ///< until a failed write is repeated
     std::vector<uint64_t> m_lookups; ///< numbers of the requests that wait for the next read of all records
--- a/src/gateway_relay.cpp
+++ b/src/gateway_relay.cpp
@@ -14,11 +14,17 @@
 constexpr Duration RelayedWatchWait = milliseconds(1000);
 constexpr Duration RelaySlackTime = milliseconds(250);
 
+/** Records of streams are read when a stream is taken up; passed on to all gateways while versions are mixed, they would fill the links. */
+bool isRelayed(const Platform::StoreItem &item)
+{
+    return !item.m_key.starts_with(Platform::StreamRecordPrefix);
+}
+
 size_t sizeOf(const Platform::StoreItems &events)
 {
     size_t bytes = 0;
     for (const Platform::StoreItem &item : events.m_items) {
-        bytes += item.m_key.size() + item.m_value.size();
+        bytes += isRelayed(item) ? item.m_key.size() + item.m_value.size() : 0;
     }
     return bytes;
 }
@@ -33,7 +39,9 @@
     message.m_isIncomplete = sizeOf(events) > MaxRelayedBytes;
     if (!message.m_isIncomplete) {
         for (const Platform::StoreItem &item : events.m_items) {
-            message.m_items.push_back({item.m_key, item.m_value, item.m_version.revision(), item.m_removed});
+            if (isRelayed(item)) {
+                message.m_items.push_back({item.m_key, item.m_value, item.m_version.revision(), item.m_removed});
+            }
         }
     }
     return message;
--- a/src/gateway_versions.cpp
+++ b/src/gateway_versions.cpp
@@ -336,8 +336,7 @@
               [](int, const std::string &) {}); // the watch tells what came of it
 }
 
-/** @return whether a call was started */
-bool keepUsualVersions(Gateway &gateway)
+void keepUsualVersions(Gateway &gateway)
 {
     const TimePoint now = gatewayNow(gateway);
     for (const std::string &service : resumableServices(gateway)) {
@@ -349,10 +348,9 @@
             decideUsualVersion(usual, currentEra(gateway), versions, now - since, missing, streamLife(gateway));
         if (change) {
             writeUsual(gateway, service, usual, *change);
-            return true;
+            return; // one call at a time
         }
     }
-    return false;
 }
 
 std::set<std::string> memberRecordKeys(const Gateway &gateway)
@@ -389,7 +387,14 @@
                   std::string(Platform::TransactionTarget),
                   Platform::formatRemoveBody(removed),
                   StoreProbeTimeout,
-                  [](int, const std::string &) {});
+                  [&gateway, removed](int status, const std::string &) {
+                      if (status != HTTP_STATUS_PRECONDITION_FAILED) {
+                          return;
+                      }
+                      for (const Platform::KeyRevision &key : removed) {
+                          gateway.m_software.m_items.erase(key.m_key); // what is known of them is out of date
+                      }
+                  });
     }
 }
 
@@ -518,8 +523,15 @@
     if (isOver && !isCalling(*software.m_recordConnection)) {
         writeRecords(gateway); // removes the item
     }
-    const bool isKeeper = ownerOf(gateway.m_membership, "software versions", gatewayNow(gateway)) == gateway.m_settings.m_node;
-    if (isKeeper && !isCalling(*software.m_keeperConnection) && !keepUsualVersions(gateway)) {
+    const TimePoint now = gatewayNow(gateway);
+    const std::string &self = gateway.m_settings.m_node;
+    const std::string &keeper = ownerOf(gateway.m_membership, "software versions", now);
+    if (keeper == self && !isCalling(*software.m_keeperConnection)) {
+        keepUsualVersions(gateway);
+    }
+    // Only gateways that watch the store themselves know the records.
+    const std::vector<std::string> watchers = relayWatchers(gateway.m_membership, now);
+    if ((watchers.empty() ? keeper : watchers.front()) == self && !isCalling(*software.m_keeperConnection)) {
         removeOrphans(gateway);
     }
 }
