Give up an answer of the store only when it stops arriving

A thread sanitizer run beside load failed once: store_outage, changesBeyondTheLimitOfAnAnswerAreListed got 503, as the answer of the fake store to a watch call came later than 0.76 s. Traced: a watch call that catches up waits 10 ms and was given up 0.76 s after its start, its answer included; it was asked for again unchanged.

Change: the limit is on the time without a byte of the answer; one that goes on arriving may take 30 s.

--- a/src/gateway_store.cpp
+++ b/src/gateway_store.cpp
@@ -27,6 +27,7 @@
 
 namespace {
 
+constexpr Duration MaxStoreCallTime = seconds(30); ///< for a call whose answer goes on arriving, waits of watches included
 constexpr Duration CallTimeout = milliseconds(2000); ///< the store usually answers within milliseconds
 /**
  * Wait of a watch call that follows an interruption or an answer with events. A call that is lost with the disruption that caused
@@ -236,6 +237,21 @@
     };
 }
 
+/** Gives a call up after @p limit unless more of its answer than @p received bytes has arrived: a large one takes its time on a slow link.
+ */
+void limitStoreCall(Gateway &gateway, StoreConnection &connection, Duration limit, size_t received)
+{
+    connection.m_timeout.start(gateway.m_loop, limit, [&gateway, &connection, received] {
+        const size_t arrived = connection.m_reader.m_started ? connection.m_reader.occupiedBytes() : 0;
+        const bool isOverdue = gatewayNow(gateway) - connection.m_startedAt > MaxStoreCallTime;
+        if (arrived <= received || isOverdue) {
+            failStoreCall(gateway, connection);
+        } else {
+            limitStoreCall(gateway, connection, StoreProbeTimeout, arrived);
+        }
+    });
+}
+
 } // namespace
 
 void callStore(Gateway &gateway,
@@ -259,15 +275,7 @@
         headers.push_back({"Content-Type", "application/json"});
     }
     connection.m_net->write(formatRequest(method, target, headers, body));
-    const Duration limit = storeCallTimeout(gateway.m_store.m_contact, timeout);
-    connection.m_timeout.start(gateway.m_loop, limit, [&gateway, &connection, rest = timeout - limit] {
-        // An answer that arrives slowly is large: the store is there.
-        if (rest > Duration(0) && connection.m_reader.m_started) {
-            connection.m_timeout.start(gateway.m_loop, rest, [&gateway, &connection] { failStoreCall(gateway, connection); });
-            return;
-        }
-        failStoreCall(gateway, connection);
-    });
+    limitStoreCall(gateway, connection, storeCallTimeout(gateway.m_store.m_contact, timeout), 0);
 }
 
 StoreConnection *newStoreConnection()
