Decide on an attempt at one point in time

Callers got 503 no_upstream although the only replica of the service could be tried again at that moment and their deadline was seconds away.

Cause: startAttempt() read the clock several times for one decision. A pause of a replica that ended between the choice of a replica and the question when one may be tried again was over for the second and not for the first: no replica, nothing to wait for, so the service looked as if it had none. Timers round to milliseconds and may fire up to 1 ms early, so waiting requests wake up in just that moment. Load makes the window longer, it doesn't cause it.

Ruled out: the port of the fake replica (no connection was accepted and the refusal came before the restart), the configuration (store=followed, version 1).

Change: the time is read once and passed to every step: pauses that replicas asked for, pauses after refused connections, shares of connections and cold permits. The steps take it as an argument, so a further step can't read another one unnoticed. The same class stood in startCall(), pauseColdWorkers(), sendReleases() and closeIdleUpstreams(), mended alike.

The test depends on the moment and so can miss the fault in a single run.

--- a/src/gateway_attempts.cpp
+++ b/src/gateway_attempts.cpp
@@ -28,13 +28,12 @@
     return retryable ? ConnectionUse::Pooled : ConnectionUse::Recent;
 }
 
-std::vector<ReplicaView> viewReplicas(Gateway &gateway, const Exchange &exchange)
+std::vector<ReplicaView> viewReplicas(Gateway &gateway, const Exchange &exchange, TimePoint now)
 {
     std::vector<ReplicaView> views;
     const bool scarce = isScarce(gateway, exchange.m_service);
     const std::vector<std::string> &ids = gateway.m_replicasByService[exchange.m_service];
     const size_t index = memberIndex(gateway);
-    const TimePoint now = gatewayNow(gateway);
     const bool learnsSpeed = learnsEngineSpeed(gateway, exchange);
     const std::optional<std::string> required = requiredVersion(gateway, exchange);
     for (const std::string &id : ids) {
@@ -43,11 +42,11 @@
             continue;
         }
         const bool hasIdle = hasReusable(gateway, upstream, connectionUse(exchange), scarce);
-        const bool mayOpen = mayConnect(upstream.m_connects, now) && isWithinShare(gateway, upstream);
+        const bool mayOpen = mayConnect(upstream.m_connects, now) && isWithinShare(gateway, upstream, now);
         if (now < pausedUntil(gateway.m_registry, id) || !(hasIdle || mayOpen)) {
             continue;
         }
-        if (isWithheld(gateway, id)) {
+        if (isWithheld(gateway, id, now)) {
             gateway.m_cold.m_withheld += 1;
             continue;
         }
@@ -73,10 +72,9 @@
 }
 
 /** When the first of the replicas that refused connections may be tried again; nothing when there is none. */
-std::optional<TimePoint> firstConnectAt(Gateway &gateway, const Exchange &exchange)
+std::optional<TimePoint> firstConnectAt(Gateway &gateway, const Exchange &exchange, TimePoint now)
 {
     std::optional<TimePoint> first;
-    const TimePoint now = gatewayNow(gateway);
     for (const std::string &id : gateway.m_replicasByService[exchange.m_service]) {
         const ConnectHistory &history = gateway.m_upstreams.at(id).m_connects;
         if (!mayConnect(history, now)) {
@@ -87,14 +85,13 @@
 }
 
 /** Whether a replica of the service of @p exchange would get the request if this gateway had not used up its share of connections. */
-bool isShareUsedUp(Gateway &gateway, const Exchange &exchange)
+bool isShareUsedUp(Gateway &gateway, const Exchange &exchange, TimePoint now)
 {
-    const TimePoint now = gatewayNow(gateway);
     const std::vector<std::string> &ids = gateway.m_replicasByService[exchange.m_service];
     return std::any_of(ids.begin(), ids.end(), [&](const std::string &id) {
         const Upstream &upstream = gateway.m_upstreams.at(id);
         const bool isUsable = now >= pausedUntil(gateway.m_registry, id) && mayConnect(upstream.m_connects, now);
-        return isUsable && !isWithinShare(gateway, upstream);
+        return isUsable && !isWithinShare(gateway, upstream, now);
     });
 }
 
@@ -122,9 +119,9 @@
     std::optional<int64_t> m_uncachedTokens; ///< that the replica is expected to read, when the speed of engines is learned
 };
 
-std::optional<ReplicaChoice> chooseReplica(Gateway &gateway, const Exchange &exchange)
+std::optional<ReplicaChoice> chooseReplica(Gateway &gateway, const Exchange &exchange, TimePoint now)
 {
-    std::vector<ReplicaView> views = viewReplicas(gateway, exchange);
+    std::vector<ReplicaView> views = viewReplicas(gateway, exchange, now);
     PlacementRequest request;
     request.m_parts = exchange.m_parts;
     request.m_callerDomain = gateway.m_settings.m_failureDomain;
@@ -620,9 +617,8 @@
     }
 }
 
-bool refuseIfPaused(Gateway &gateway, Exchange &exchange, TimePoint limit)
+bool refuseIfPaused(Gateway &gateway, Exchange &exchange, TimePoint limit, TimePoint now)
 {
-    const TimePoint now = gatewayNow(gateway);
     const std::optional<TimePoint> resume = firstResume(gateway.m_registry, gateway.m_replicasByService[exchange.m_service], now);
     if (!resume || *resume < limit || exchange.m_attempts.m_ran > 0) {
         return false;
@@ -648,21 +644,23 @@
         }
         return;
     }
-    const std::optional<ReplicaChoice> choice = chooseReplica(gateway, exchange);
+    // One time for the whole decision: a pause that ended in the middle of it would look like a service without replicas.
+    const TimePoint now = gatewayNow(gateway);
+    const std::optional<ReplicaChoice> choice = chooseReplica(gateway, exchange, now);
     if (!choice) {
-        if (refuseIfPaused(gateway, exchange, gatewayNow(gateway))) {
+        if (refuseIfPaused(gateway, exchange, now, now)) {
             return;
         }
-        if (isShareUsedUp(gateway, exchange)) {
+        if (isShareUsedUp(gateway, exchange, now)) {
             waitForShare(gateway, exchange);
             return;
         }
-        if (const std::optional<TimePoint> earliest = firstConnectAt(gateway, exchange)) {
+        if (const std::optional<TimePoint> earliest = firstConnectAt(gateway, exchange, now)) {
             retryConnect(gateway, exchange, earliest);
             return;
         }
         const Reason reason = isServiceEvacuated(gateway.m_registry, exchange.m_service) ? Reason::UpstreamEvacuated
-            : isServiceWithheld(gateway, exchange.m_service)                             ? Reason::UpstreamCold
+            : isServiceWithheld(gateway, exchange.m_service, now)                        ? Reason::UpstreamCold
                                                                                          : Reason::NoUpstream;
         if (exchange.m_attempts.m_ran == 0) {
             refuseExchange(gateway, exchange, reason);
@@ -673,7 +671,7 @@
     }
     exchange.m_attempt = std::make_unique<Attempt>();
     exchange.m_attempt->m_replica = choice->m_id;
-    exchange.m_attempt->m_startedAt = gatewayNow(gateway);
+    exchange.m_attempt->m_startedAt = now;
     exchange.m_attempt->m_uncachedTokens = choice->m_uncachedTokens;
     Upstream &upstream = gateway.m_upstreams.at(choice->m_id);
     exchange.m_attempt->m_runningBefore = upstream.m_running;
@@ -762,7 +760,7 @@
     if (!exchange.m_route->m_usesEngine) {
         return {};
     }
-    const std::vector<ReplicaView> views = viewReplicas(gateway, exchange);
+    const std::vector<ReplicaView> views = viewReplicas(gateway, exchange, gatewayNow(gateway));
     PlacementRequest request;
     request.m_parts = exchange.m_parts;
     const std::optional<size_t> index = placePrompt(views, request);
--- a/src/gateway_cold.cpp
+++ b/src/gateway_cold.cpp
@@ -39,16 +39,15 @@
 
 } // namespace
 
-bool isWithheld(Gateway &gateway, const std::string &replica)
+bool isWithheld(Gateway &gateway, const std::string &replica, TimePoint now)
 {
-    const TimePoint now = gatewayNow(gateway);
     return isCold(gateway.m_cold, replica, now) && !hasColdPermit(gateway.m_cold, replica, now);
 }
 
-bool isServiceWithheld(Gateway &gateway, const std::string &service)
+bool isServiceWithheld(Gateway &gateway, const std::string &service, TimePoint now)
 {
     const std::vector<std::string> &ids = gateway.m_replicasByService[service];
-    return std::any_of(ids.begin(), ids.end(), [&gateway](const std::string &id) { return isWithheld(gateway, id); });
+    return std::any_of(ids.begin(), ids.end(), [&gateway, now](const std::string &id) { return isWithheld(gateway, id, now); });
 }
 
 void reservePermit(Gateway &gateway, UpstreamCall &call)
@@ -90,7 +89,7 @@
 {
     const TimePoint now = gatewayNow(gateway);
     for (const auto &[id, worker] : queue.m_workers) {
-        if (isWithheld(gateway, id)) {
+        if (isWithheld(gateway, id, now)) {
             pauseWorker(queue, id, nextColdPermit(gateway.m_cold, id, now));
         }
     }
--- a/src/gateway_internal.h
+++ b/src/gateway_internal.h
@@ -134,8 +134,11 @@
 
 /** Whether the connections of a service are scarce, see hasScarceConnections(). */
 bool isScarce(Gateway &gateway, const std::string &service);
-/** Whether a connection to a replica may be opened within the share of this gateway. An idle one that can't be used is closed for it. */
-bool isWithinShare(Gateway &gateway, const Upstream &upstream);
+/**
+ * Whether a connection to a replica may be opened at @p now within the share of this gateway. An idle one that can't be used is closed
+ * for it.
+ */
+bool isWithinShare(Gateway &gateway, const Upstream &upstream, TimePoint now);
 /** Whether an idle connection to a replica may carry a request of a caller. */
 bool hasReusable(Gateway &gateway, const Upstream &upstream, ConnectionUse use, bool isScarceService);
 /** Number of this gateway among the members, in the order of their names; see isPreferred(). */
@@ -312,8 +315,8 @@
  * @return false when the limit of restarts is reached or @p stages is empty
  */
 bool retryStages(Gateway &gateway, Exchange &exchange, const std::vector<size_t> &stages);
-/** Refuses a request at once when all replicas of its service want no requests before @p limit. @return whether it did. */
-bool refuseIfPaused(Gateway &gateway, Exchange &exchange, TimePoint limit);
+/** Refuses a request at once when, at @p now, all replicas of its service want no requests before @p limit. @return whether it did. */
+bool refuseIfPaused(Gateway &gateway, Exchange &exchange, TimePoint limit, TimePoint now);
 /** Selects a replica and sends the request to it. All stages have to be done. */
 void startAttempt(Gateway &gateway, Exchange &exchange);
 void stopAttempt(Gateway &gateway, Exchange &exchange);
@@ -552,10 +555,10 @@
 // [SECTION] Cold
 //-----------------------------------------------------------------------------
 
-/** Whether a replica is cold and this gateway can't send it a request now. */
-bool isWithheld(Gateway &gateway, const std::string &replica);
-/** Whether a replica of a service that accepts work is cold and without a permit. */
-bool isServiceWithheld(Gateway &gateway, const std::string &service);
+/** Whether a replica is cold and this gateway can't send it a request at @p now. */
+bool isWithheld(Gateway &gateway, const std::string &replica, TimePoint now);
+/** Whether a replica of a service that accepts work is cold and without a permit at @p now. */
+bool isServiceWithheld(Gateway &gateway, const std::string &service, TimePoint now);
 /** Reserves a permit for a call to a cold replica. */
 void reservePermit(Gateway &gateway, UpstreamCall &call);
 /** To be called right before a call is written. @return false when the replica is cold and there is no permit. */
--- a/src/gateway_requests.cpp
+++ b/src/gateway_requests.cpp
@@ -212,7 +212,7 @@
     setDeadlines(exchange);
     prepareExchange(gateway, exchange);
     countRequest(gateway.m_retryBudgets[exchange.m_service], gateway.m_settings, exchange.m_receivedAt);
-    if (rejectRefused(gateway, exchange) || refuseIfPaused(gateway, exchange, exchange.m_firstEventDeadline)) {
+    if (rejectRefused(gateway, exchange) || refuseIfPaused(gateway, exchange, exchange.m_firstEventDeadline, gatewayNow(gateway))) {
         return;
     }
     if (needsEvacuatedService(gateway, exchange)) {
--- a/src/gateway_stages.cpp
+++ b/src/gateway_stages.cpp
@@ -451,8 +451,9 @@
     const auto releases = std::exchange(owned.m_releases, {});
     for (const auto &[replica, handles] : releases) {
         const auto upstream = gateway.m_upstreams.find(replica);
-        const bool isPaused = gatewayNow(gateway) < pausedUntil(gateway.m_registry, replica);
-        const bool isSilenced = isPaused || isEvacuated(gateway.m_registry, replica) || isWithheld(gateway, replica);
+        const TimePoint now = gatewayNow(gateway);
+        const bool isPaused = now < pausedUntil(gateway.m_registry, replica);
+        const bool isSilenced = isPaused || isEvacuated(gateway.m_registry, replica) || isWithheld(gateway, replica, now);
         if (upstream == gateway.m_upstreams.end() || !upstream->second.m_registered || isSilenced) {
             continue; // the results expire
         }
--- a/src/gateway_upstreams.cpp
+++ b/src/gateway_upstreams.cpp
@@ -404,14 +404,13 @@
  * Number of connections that this gateway may have to a replica. Stage services have no shares, as only the owner of their queue calls
  * them; the number of its open calls is bounded by the queue.
  */
-int shareOf(Gateway &gateway, const Upstream &upstream)
+int shareOf(Gateway &gateway, const Upstream &upstream, TimePoint now)
 {
     const std::string &service = upstream.m_record.m_service;
     const ServingService *definition = gateway.m_configuration ? findService(*gateway.m_configuration, service) : nullptr;
     if (definition == nullptr || definition->m_pieces || !isScarce(gateway, service)) {
         return std::numeric_limits<int>::max();
     }
-    const TimePoint now = gatewayNow(gateway);
     const size_t gateways = memberCount(gateway.m_membership, now);
     return connectionShare(definition->m_maxConnections, gateways, now - gateway.m_startedAt, upstream.m_shareLoweredUntil, now);
 }
@@ -476,9 +475,9 @@
     return definition != nullptr && hasScarceConnections(definition->m_maxConnections, gateway.m_largestMembership);
 }
 
-bool isWithinShare(Gateway &gateway, const Upstream &upstream)
+bool isWithinShare(Gateway &gateway, const Upstream &upstream, TimePoint now)
 {
-    return upstream.m_connections - static_cast<int>(upstream.m_idle.size()) < shareOf(gateway, upstream);
+    return upstream.m_connections - static_cast<int>(upstream.m_idle.size()) < shareOf(gateway, upstream, now);
 }
 
 bool hasReusable(Gateway &gateway, const Upstream &upstream, ConnectionUse use, bool isScarceService)
@@ -500,10 +499,11 @@
     prototype.m_replica = replica;
     reservePermit(gateway, prototype);
     // Otherwise the call is refused when its new connection is open, as this function must not end it.
-    const bool isSendable = isWriteAllowed(gateway, prototype) && (!isWithheld(gateway, replica) || prototype.m_permit);
+    const TimePoint now = gatewayNow(gateway);
+    const bool isSendable = isWriteAllowed(gateway, prototype) && (!isWithheld(gateway, replica, now) || prototype.m_permit);
     UpstreamConnection *connection = isSendable ? takeIdle(gateway, upstream, prototype, use) : nullptr;
     const bool reused = connection != nullptr;
-    if (!reused && !isWithinShare(gateway, upstream)) {
+    if (!reused && !isWithinShare(gateway, upstream, now)) {
         returnPermit(gateway, prototype);
         return nullptr;
     }
@@ -511,11 +511,11 @@
     UpstreamCall *call = owned.get();
     call->m_number = gateway.m_nextNumber++;
     call->m_replica = replica;
-    call->m_startedAt = gatewayNow(gateway);
+    call->m_startedAt = now;
     call->m_lastByteAt = call->m_startedAt;
     gateway.m_calls.emplace(call->m_number, std::move(owned));
     if (!reused) {
-        closeBeyond(gateway, upstream, shareOf(gateway, upstream) - 1);
+        closeBeyond(gateway, upstream, shareOf(gateway, upstream, now) - 1);
         connection = openConnection(gateway, upstream);
     }
     connection->m_call = call;
@@ -609,10 +609,11 @@
 void closeIdleUpstreams(Gateway &gateway)
 {
     std::vector<UpstreamConnection *> expired;
+    const TimePoint now = gatewayNow(gateway);
     for (auto &[id, upstream] : gateway.m_upstreams) {
-        closeBeyond(gateway, upstream, shareOf(gateway, upstream));
+        closeBeyond(gateway, upstream, shareOf(gateway, upstream, now));
         for (UpstreamConnection *connection : upstream.m_idle) {
-            if (gatewayNow(gateway) - connection->m_idleSince >= connection->m_idleLimit) {
+            if (now - connection->m_idleSince >= connection->m_idleLimit) {
                 expired.push_back(connection);
             }
         }
--- a/tests/test_connections.cpp
+++ b/tests/test_connections.cpp
@@ -248,6 +248,7 @@
     CPPUNIT_TEST(refusedConnectionsAreNotRetriedWithoutAPause);
     CPPUNIT_TEST(failoverFromARefusingReplicaSucceeds);
     CPPUNIT_TEST(waitingRequestIsServedWhenAReplicaIsBack);
+    CPPUNIT_TEST(allWaitingRequestsAreServedWhenAReplicaIsBack);
     CPPUNIT_TEST(callerMayLeaveWhileItsRequestWaits);
     CPPUNIT_TEST(reuseDependsOnTheRepliesOfTheHost);
     CPPUNIT_TEST(copiesOfStageAnswersAreRecognised);
@@ -399,6 +400,29 @@
         }
     }
 
+    // Guards against a refusal when the pause of a replica ends between two steps of the same decision.
+    void allWaitingRequestsAreServedWhenAReplicaIsBack()
+    {
+        constexpr size_t Requests = 1000; // they wait for the end of the same pauses
+        GatewayHarness harness;
+        FakeServer replica;
+        replica.start(harness.m_loop, answerOk);
+        const GatewayHarness::Process &gateway = startServing(harness, {{"i-1", "plain", &replica}});
+        replica.crash(milliseconds(1000), [] {});
+        std::vector<Caller *> callers;
+        for (size_t i = 0; i < Requests; ++i) {
+            callers.push_back(&harness.send(gateway, "POST", "/plain/1", fmt::format("a{}", i)));
+        }
+        harness.runUntil("all answers", [&] {
+            return std::all_of(
+                callers.begin(), callers.end(), [](const Caller *caller) { return caller->isAnswered() || caller->m_closed; });
+        });
+        for (const Caller *caller : callers) {
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(caller->m_reader.m_body, 200, caller->m_reader.m_status);
+        }
+        CPPUNIT_ASSERT_EQUAL(Requests, replica.m_requests.size());
+    }
+
     // Guards against a request that waits for a connection and is sent after its caller has left.
     void callerMayLeaveWhileItsRequestWaits()
     {
