Keep the port of a fake server that has stopped

Test harness. KNOWN-RED listed two failures of gateway_faults with "address already in use", and ten copies of the suite `connections` beside each other under the address sanitizer failed once in 30 runs: ConnectionsTest::refusedConnectionsAreNotRetriedWithoutAPause expected 503 and got 200, an answer of another process's server.

Cause: a fake server that crashed or stopped gave its port back, and the system gave it to another process: a fake server of another suite, or one end of a connection.

Change: FakeServer::stopListening() keeps the port bound by a socket that doesn't listen, so that connections are refused and no other process gets it. crash() and the tests that closed the listener use it. A test shows it: binding the port succeeded before and fails now.

--- a/tests/gateway_world.h
+++ b/tests/gateway_world.h
@@ -7,16 +7,20 @@
  */
 
 #include <algorithm>
+#include <cerrno>
 #include <climits>
 #include <csignal>
+#include <cstring>
 #include <fstream>
 #include <list>
 #include <map>
+#include <netinet/in.h>
 #include <optional>
 #include <set>
 #include <spawn.h>
 #include <string>
 #include <sys/resource.h>
+#include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
 #include <vector>
@@ -39,6 +43,33 @@
     NetConnection *m_net = nullptr; ///< connection for the answer; null once the peer has disconnected
 };
 
+/** Keeps a port of 127.0.0.1 from being given to another process while nobody listens on it. Connections to it are refused. */
+class ReservedPort
+{
+public:
+    explicit ReservedPort(int port) : m_socket(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
+    {
+        const int reuse = 1; // so that a server can listen on the port before this socket is closed
+        sockaddr_in local{};
+        local.sin_family = AF_INET;
+        local.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        local.sin_port = htons(static_cast<uint16_t>(port));
+        CPPUNIT_ASSERT_EQUAL(0, setsockopt(m_socket, SOL_SOCKET, SO_REUSEADDR, &reuse, sizeof reuse));
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(std::strerror(errno), 0, bind(m_socket, reinterpret_cast<const sockaddr *>(&local), sizeof local));
+    }
+
+    ~ReservedPort()
+    {
+        close(m_socket);
+    }
+
+    ReservedPort(const ReservedPort &) = delete;
+    ReservedPort &operator=(const ReservedPort &) = delete;
+
+private:
+    int m_socket;
+};
+
 /** HTTP server that records every request and answers by a handler of the test. */
 struct FakeServer {
     using Handler = std::function<void(FakeServer &, const std::shared_ptr<ReceivedRequest> &)>;
@@ -62,11 +93,20 @@
         return fmt::format("127.0.0.1:{}", m_listener.port());
     }
 
+    /** Refuses new connections. No other process gets the port, as it stays bound. */
+    void stopListening()
+    {
+        if (const int port = m_listener.port(); port != 0) {
+            m_listener.close();
+            m_reserved.emplace(port);
+        }
+    }
+
     /** Resets all connections and refuses new ones, at the same address, for @p downTime. @p onRestart is called after that. */
     void crash(Duration downTime, const std::function<void()> &onRestart)
     {
         const int port = m_listener.port();
-        m_listener.close();
+        stopListening();
         for (NetConnection *net : std::exchange(m_open, {})) {
             net->resetConnection();
             for (const std::shared_ptr<ReceivedRequest> &request : m_requests) {
@@ -76,6 +116,7 @@
         m_restart.start(*m_loop, downTime, [this, port, onRestart] {
             const absl::Status status = m_listener.listen(*m_loop, {"127.0.0.1", port}, {}, [this](NetConnection *net) { accept(net); });
             CPPUNIT_ASSERT_MESSAGE(std::string(status.message()), status.ok());
+            m_reserved.reset();
             onRestart();
         });
     }
@@ -93,6 +134,7 @@
     }
 
 private:
+    std::optional<ReservedPort> m_reserved;
     NetTimer m_restart;
     std::set<NetConnection *> m_open;
 
--- a/tests/test_connections.cpp
+++ b/tests/test_connections.cpp
@@ -246,6 +246,7 @@
     CPPUNIT_TEST(pausesGrowAndAdmitOneConnectionEach);
     CPPUNIT_TEST(requestsAreRefusedWhenNoReplicaIsLikelyInTime);
     CPPUNIT_TEST(refusedConnectionsAreNotRetriedWithoutAPause);
+    CPPUNIT_TEST(portOfAStoppedFakeServerIsNotGivenAway);
     CPPUNIT_TEST(failoverFromARefusingReplicaSucceeds);
     CPPUNIT_TEST(waitingRequestIsServedWhenAReplicaIsBack);
     CPPUNIT_TEST(allWaitingRequestsAreServedWhenAReplicaIsBack);
@@ -358,7 +359,7 @@
             }
             const GatewayHarness::Process &gateway = startServing(harness, registered);
             for (FakeServer &replica : replicas) {
-                replica.m_listener.close();
+                replica.stopListening();
             }
             CPPUNIT_ASSERT_EQUAL_MESSAGE(target, 503, ask(harness, gateway, target, "a1", {{"X-Deadline-Ms", "1000"}}).m_reader.m_status);
             const double failed = failedConnections(harness, gateway);
@@ -366,6 +367,26 @@
         }
     }
 
+    // Guards against tests that reach a server of another process at the address of a fake server that has stopped.
+    void portOfAStoppedFakeServerIsNotGivenAway()
+    {
+        GatewayHarness harness;
+        FakeServer server;
+        server.start(harness.m_loop, answerOk);
+        const std::string address = server.address();
+        server.stopListening();
+        Caller &caller = harness.connectCaller(address);
+        harness.runUntil("the refusal of a connection", [&] { return caller.m_closed; });
+        const int rival = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        sockaddr_in local{};
+        local.sin_family = AF_INET;
+        local.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        local.sin_port = htons(static_cast<uint16_t>(parseSocketAddress(address)->m_port));
+        const int code = bind(rival, reinterpret_cast<const sockaddr *>(&local), sizeof local);
+        close(rival);
+        CPPUNIT_ASSERT_EQUAL(-1, code);
+    }
+
     // Guards against a pause, or a refusal, while another replica accepts connections.
     void failoverFromARefusingReplicaSucceeds()
     {
@@ -375,7 +396,7 @@
         refusing.start(harness.m_loop, answerOk);
         sound.start(harness.m_loop, answerOk);
         const GatewayHarness::Process &gateway = startServing(harness, {{"i-1", "plain", &refusing}, {"i-2", "plain", &sound}});
-        refusing.m_listener.close();
+        refusing.stopListening();
         for (int i = 0; i < 20; ++i) {
             const std::string id = fmt::format("a{}", i);
             CPPUNIT_ASSERT_EQUAL(200, ask(harness, gateway, "/plain/1", id, {{"X-Deadline-Ms", "400"}}).m_reader.m_status);
--- a/tests/test_gateway_faults.cpp
+++ b/tests/test_gateway_faults.cpp
@@ -481,7 +481,7 @@
         if (findHeader(request->m_request.m_headers, "X-Prefix-Hash").value_or("").find("dead:") != std::string_view::npos) {
             auto timer = std::make_shared<NetTimer>();
             timer->start(*server.m_loop, milliseconds(150), [&server, request, timer] {
-                server.m_listener.close();
+                server.stopListening();
                 if (request->m_net != nullptr) {
                     request->m_net->close();
                 }
