Test that records of streams are not relayed

Followers of a watch learn a change of the configuration that comes with 100 KB of records and make no call of their own for it.

--- a/tests/test_relay.cpp
+++ b/tests/test_relay.cpp
@@ -17,6 +17,7 @@
     CPPUNIT_TEST(answersProveTheirAge);
     CPPUNIT_TEST(gapsAreReadFromTheStore);
     CPPUNIT_TEST(followersLearnChangesWithoutOwnCalls);
+    CPPUNIT_TEST(recordsOfStreamsAreNotRelayed);
     CPPUNIT_TEST(followersWatchWhenTheirSourcesAreGone);
     CPPUNIT_TEST_SUITE_END();
 
@@ -175,12 +176,9 @@
         });
     }
 
-    // Guards against a follower that watches all the same, and against one that does not learn of changes.
-    void followersLearnChangesWithoutOwnCalls()
+    /** Starts six gateways that watch the store and one that follows them. */
+    static const GatewayHarness::Process &startFollower(GatewayHarness &harness, const FakeServer &replica)
     {
-        GatewayHarness harness;
-        FakeServer replica;
-        replica.start(harness.m_loop, answerOk);
         harness.m_store.put("op/config", configuration(1).dump());
         harness.m_store.putReplica("i-1", "plain", replica.address());
         addMembers(harness.m_store, 1e-6);
@@ -193,6 +191,16 @@
             harness.runFor(milliseconds(50));
             return metric(harness, follower, "medlarramp_relay_following") == 1;
         });
+        return follower;
+    }
+
+    // Guards against a follower that watches all the same, and against one that does not learn of changes.
+    void followersLearnChangesWithoutOwnCalls()
+    {
+        GatewayHarness harness;
+        FakeServer replica;
+        replica.start(harness.m_loop, answerOk);
+        const GatewayHarness::Process &follower = startFollower(harness, replica);
         const int64_t calls = metric(harness, follower, "medlarramp_watch_calls");
         harness.m_store.put("op/config", withRoute(2, "/added/").dump());
         waitForRoute(harness, follower, "/added/1");
@@ -205,6 +213,21 @@
         CPPUNIT_ASSERT_EQUAL(calls, metric(harness, follower, "medlarramp_watch_calls"));
     }
 
+    // Guards against records of streams that are passed on, and make followers read from the store what exceeds an answer.
+    void recordsOfStreamsAreNotRelayed()
+    {
+        constexpr size_t RecordBytes = 100 * 1024; // more than one relayed answer holds
+        GatewayHarness harness;
+        FakeServer replica;
+        replica.start(harness.m_loop, answerOk);
+        const GatewayHarness::Process &follower = startFollower(harness, replica);
+        const int64_t calls = metric(harness, follower, "medlarramp_watch_calls");
+        harness.m_store.put("entries/.streams/absent-0/1", std::string(RecordBytes, 'x'));
+        harness.m_store.put("op/config", withRoute(2, "/added/").dump());
+        waitForRoute(harness, follower, "/added/1");
+        CPPUNIT_ASSERT_EQUAL(calls, metric(harness, follower, "medlarramp_watch_calls"));
+    }
+
     // Guards against changes that are not learned because the gateways that should pass them on do not exist any more.
     void followersWatchWhenTheirSourcesAreGone()
     {
