End handshakes before the callers' listener closes

Seen: callers whose connection the system had just established when a stopping gateway closed its listener were reset, or, when their last packet of the handshake was dropped, got nothing at all.

Cause: closeAfterPending() accepted until the queue was empty and then closed. Connections that were established between the two, and handshakes that were half done, were lost.

Change: the listener first drops the packets that ask for a connection (a socket filter on SYN, which needs no privilege), 50 ms later accepts what is established, and closes. A caller that asks in these 50 ms is refused at its second try, 1 s later. Without the filter a log line says so.

--- a/src/net.h
+++ b/src/net.h
@@ -187,13 +187,20 @@
     listen(NetLoop &loop, const SocketAddress &address, const ConnectionOptions &options, std::function<void(NetConnection *)> onAccept);
     /** The port listened on, also when port 0 asked for any. */
     [[nodiscard]] int port() const;
+    [[nodiscard]] bool isOpen() const;
     void close();
-    /** Accepts the connections that the system has already established, and closes: none of them is reset unread. */
+    /**
+     * Ends the handshakes that are under way, accepts their connections and closes, so that none is reset unread. Until then new
+     * handshakes get no answer; their callers are refused when they try again, on Linux after 1 s.
+     */
     void closeAfterPending();
 
 private:
+    void acceptPending();
+
     struct Handle;
     Handle *m_handle = nullptr;
+    NetTimer m_closeTimer;
 };
 
 //-----------------------------------------------------------------------------
--- a/src/net_loop.cpp
+++ b/src/net_loop.cpp
@@ -1,6 +1,10 @@
 #include <algorithm>
+#include <array>
+#include <cerrno>
 #include <charconv>
 #include <cstring>
+#include <limits>
+#include <linux/filter.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -16,6 +20,7 @@
 constexpr int ListenBacklog = 1024; ///< connections; a full queue delays a caller by seconds
 constexpr int ProbeSeconds = 1; ///< the smallest idle time and interval that the kernel takes
 constexpr int MinProbes = 2;
+constexpr Duration HandshakeTime = milliseconds(50); ///< from the answer to a handshake to its last packet, within a region
 
 absl::Status toStatus(int code, std::string_view what)
 {
@@ -34,6 +39,21 @@
     return getsockopt(descriptor, SOL_SOCKET, SO_ERROR, &error, &size) == 0 ? -error : UV_EBADF;
 }
 
+/** Drops the packets that ask @p listening for a connection. Those of handshakes under way still arrive. */
+void ignoreHandshakes(int listening)
+{
+    constexpr uint32_t FlagsOffset = 13; // in the TCP header, with which the data of the filter begins
+    constexpr uint32_t WholePacket = std::numeric_limits<uint32_t>::max();
+    std::array<sock_filter, 4> instructions = {{BPF_STMT(BPF_LD | BPF_B | BPF_ABS, FlagsOffset),
+                                                BPF_JUMP(BPF_JMP | BPF_JSET | BPF_K, TH_SYN, 0, 1),
+                                                BPF_STMT(BPF_RET | BPF_K, 0),
+                                                BPF_STMT(BPF_RET | BPF_K, WholePacket)}};
+    const sock_fprog filter{instructions.size(), instructions.data()};
+    if (setsockopt(listening, SOL_SOCKET, SO_ATTACH_FILTER, &filter, sizeof filter) != 0) {
+        writeLog(LogLevel::Warning, "net", "Handshakes can't be ignored; closing may reset some.", {{"error", std::strerror(errno)}});
+    }
+}
+
 } // namespace
 
 void initLoop(NetLoop &loop, Clock &clock)
@@ -533,17 +553,36 @@
     return ntohs(local.sin_port);
 }
 
+bool NetListener::isOpen() const
+{
+    return m_handle != nullptr;
+}
+
 void NetListener::closeAfterPending()
 {
     uv_os_fd_t listening = -1;
-    if (m_handle != nullptr && uv_fileno(reinterpret_cast<const uv_handle_t *>(&m_handle->m_tcp), &listening) == 0) {
-        for (int accepted = 0; (accepted = accept4(listening, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC)) >= 0;) {
-            if (NetConnection *connection = NetConnection::adopt(*m_handle->m_netLoop, accepted, m_handle->m_options)) {
-                m_handle->m_onAccept(connection);
-            }
+    if (m_handle == nullptr || m_closeTimer.isActive()
+        || uv_fileno(reinterpret_cast<const uv_handle_t *>(&m_handle->m_tcp), &listening) != 0) {
+        return;
+    }
+    ignoreHandshakes(listening);
+    m_closeTimer.start(*m_handle->m_netLoop, HandshakeTime, [this] {
+        acceptPending();
+        close();
+    });
+}
+
+void NetListener::acceptPending()
+{
+    uv_os_fd_t listening = -1;
+    if (uv_fileno(reinterpret_cast<const uv_handle_t *>(&m_handle->m_tcp), &listening) != 0) {
+        return;
+    }
+    for (int accepted = 0; (accepted = accept4(listening, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC)) >= 0;) {
+        if (NetConnection *connection = NetConnection::adopt(*m_handle->m_netLoop, accepted, m_handle->m_options)) {
+            m_handle->m_onAccept(connection);
         }
     }
-    close();
 }
 
 void NetListener::close()
@@ -551,6 +590,7 @@
     if (m_handle == nullptr) {
         return;
     }
+    m_closeTimer.stop();
     uv_close(reinterpret_cast<uv_handle_t *>(&m_handle->m_tcp), [](uv_handle_t *handle) { delete static_cast<Handle *>(handle->data); });
     m_handle = nullptr;
 }
