Stay after SIGTERM while a caller's connection is open

Cause: a stopping gateway ended as idle once callers had sent nothing for 0.4 s, with their connections open. A request that met the end of the process on one of them was reset without being read.

Evidence: the test now prints when the parts of such a request were sent and when its connection ended. Four copies of the suite beside each other and a build, before the change: 3 of 12 runs failed, each with one request on a connection opened before SIGTERM, sent 4.10 to 4.23 s after it and reset 6 to 16 ms later. Ruled out: the listener (all three were on open connections) and the end of the grace period (7.7 s).

Change: the process ends when the callers' listener and all connections of callers are closed, and at the latest 0.3 s before SIGKILL as before. Whoever sends a request meanwhile is answered and told to close.

The new test sends a request 5 s after SIGTERM on an open connection; it fails before.

--- a/src/gateway_callers.cpp
+++ b/src/gateway_callers.cpp
@@ -302,11 +302,6 @@
     return contains(gateway.m_callers) || contains(gateway.m_readinessConnections);
 }
 
-bool hasPartialRequests(const Gateway &gateway)
-{
-    return std::any_of(gateway.m_callers.begin(), gateway.m_callers.end(), isReadInPart);
-}
-
 void refusePartialRequests(Gateway &gateway)
 {
     for (auto next = gateway.m_callers.begin(); next != gateway.m_callers.end();) {
--- a/src/gateway_internal.h
+++ b/src/gateway_internal.h
@@ -205,7 +205,6 @@
 void startHeadTimeout(Gateway &gateway, CallerConnection &caller);
 /** Answers 503 to the requests that have been read in part, and closes their connections. */
 void refusePartialRequests(Gateway &gateway);
-bool hasPartialRequests(const Gateway &gateway);
 /** Sends a complete answer and reads the next request. */
 void sendAnswer(Gateway &gateway, CallerConnection &caller, int status, const HttpHeaders &headers, std::string body);
 void beginStream(Gateway &gateway, CallerConnection &caller, int status, const HttpHeaders &headers, std::string_view events);
--- a/src/gateway_run.cpp
+++ b/src/gateway_run.cpp
@@ -21,7 +21,7 @@
 /** Time before SIGKILL at which requests that are not at a replica are refused, so that callers can retry elsewhere. */
 constexpr Duration RefuseMargin = milliseconds(1300);
 constexpr Duration AnswerMargin = milliseconds(700); ///< time before SIGKILL at which all other requests are answered
-/** The process exits once callers have sent nothing for this time, as accepted connections may not have been read yet. */
+/** The process exits once callers have sent nothing for this time: unread bytes would reset a connection under its answer. */
 constexpr Duration QuietBeforeExit = milliseconds(400);
 constexpr Duration ExitMargin = milliseconds(300); ///< time before SIGKILL at which the process exits; leaves time to send the answers
 constexpr size_t MaxReadinessRequestBytes = 16 * 1024;
@@ -297,11 +297,13 @@
     return status;
 }
 
+/** Whether no work is open and no caller can send a request: a connection that is closed at the exit may be in use again by then. */
 bool isIdle(const Gateway &gateway)
 {
+    const bool isCallable = gateway.m_frontListener.isOpen() || !gateway.m_callers.empty();
     const bool isQuiet = gatewayNow(gateway) - gateway.m_lastCallerBytesAt >= QuietBeforeExit;
     const bool isFlushed = unflushedBytes(gateway.m_loop) == 0;
-    return isQuiet && isFlushed && gateway.m_exchanges.empty() && !hasPartialRequests(gateway) && !hasQueuedWork(gateway);
+    return !isCallable && isQuiet && isFlushed && gateway.m_exchanges.empty() && !hasQueuedWork(gateway);
 }
 
 /** Answers requests that can't finish before the process exits. Includes requests at a replica only with @p everything. */
--- a/tests/test_hostile_callers.cpp
+++ b/tests/test_hostile_callers.cpp
@@ -643,6 +643,10 @@
             Duration m_at{}; ///< after SIGTERM
             Caller *m_caller = nullptr;
             size_t m_sent = 0; ///< bytes of the request
+            bool m_isOpenBefore = false; ///< the connection was opened before SIGTERM
+            Duration m_firstPartAt{}; ///< after SIGTERM
+            Duration m_lastPartAt{};
+            Duration m_closedAt{}; ///< 0 while the connection is open
         };
         struct Grace {
             const GatewayHarness::Process *m_gateway = nullptr;
@@ -660,7 +664,7 @@
                 grace.m_requests.push_back({i % 4 == 0 ? randomTime(3000, 8300) : randomTime(7500, 7950)});
             }
             for (size_t i = 0; i < OpenConnections; ++i) {
-                grace.m_requests.push_back({randomTime(2500, 7500), &harness.connectCaller(grace.m_gateway->m_front)});
+                grace.m_requests.push_back({randomTime(2500, 7500), &harness.connectCaller(grace.m_gateway->m_front), 0, true});
             }
             graces.push_back(std::move(grace));
         }
@@ -677,12 +681,17 @@
         const auto sendPart = [&](LateRequest &request) {
             const std::string part = text.substr(request.m_sent, half);
             request.m_caller->m_net->write(part);
+            request.m_firstPartAt = request.m_sent == 0 ? elapsed() : request.m_firstPartAt;
+            request.m_lastPartAt = elapsed();
             request.m_sent += part.size();
             request.m_at = elapsed() + PartPause;
         };
         harness.runUntil("end of the grace period", [&] {
             for (Grace &grace : graces) {
                 for (LateRequest &request : grace.m_requests) {
+                    if (request.m_closedAt == Duration::zero() && request.m_caller != nullptr && request.m_caller->m_closed) {
+                        request.m_closedAt = elapsed();
+                    }
                     if (request.m_sent == text.size() || elapsed() < request.m_at) {
                         continue;
                     }
@@ -697,6 +706,7 @@
             }
             return elapsed() >= milliseconds(8600);
         });
+        const auto inMilliseconds = [](Duration time) { return std::chrono::duration_cast<milliseconds>(time).count(); };
         std::string faults;
         for (size_t i = 0; i < graces.size(); ++i) {
             const std::vector<LateRequest> &requests = graces[i].m_requests;
@@ -707,6 +717,17 @@
             if (cut > 0) {
                 faults += fmt::format("seed {}: {} of {} accepted requests got no answer\n", i + 1, cut, sent);
             }
+            for (const LateRequest &request : requests) {
+                if (request.m_sent > 0 && !request.m_caller->isAnswered()) {
+                    faults += fmt::format("  {} connection: parts sent after {} and {} ms, {} after {} ms, {} bytes received\n",
+                                          request.m_isOpenBefore ? "open" : "new",
+                                          inMilliseconds(request.m_firstPartAt),
+                                          inMilliseconds(request.m_lastPartAt),
+                                          request.m_caller->m_reset ? "reset" : "closed",
+                                          inMilliseconds(request.m_closedAt),
+                                          request.m_caller->m_raw.size());
+                }
+            }
         }
         CPPUNIT_ASSERT_MESSAGE(faults, faults.empty());
     }
--- a/tests/test_shutdown.cpp
+++ b/tests/test_shutdown.cpp
@@ -70,6 +70,7 @@
 {
     CPPUNIT_TEST_SUITE(ShutdownTest);
     CPPUNIT_TEST(closingListenerLosesNoConnection);
+    CPPUNIT_TEST(lateRequestOnAKeptConnectionIsAnswered);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -89,6 +90,25 @@
         CPPUNIT_ASSERT_EQUAL_MESSAGE(fmt::format("lost connections, beside {} answered ones", answered), size_t(0), lost);
     }
 
+    // Guards against an exit as idle while callers may still use the connections that they have open.
+    void lateRequestOnAKeptConnectionIsAnswered()
+    {
+        GatewayHarness harness;
+        FakeServer replica;
+        replica.start(harness.m_loop, answerOk);
+        harness.m_store.put("op/config", configuration(1).dump());
+        harness.m_store.putReplica("i-1", "plain", replica.address());
+        const GatewayHarness::Process &gateway = harness.startGateway("kept");
+        Caller &caller = harness.connectCaller(gateway.m_front);
+        harness.runFor(milliseconds(100));
+        kill(gateway.m_pid, SIGTERM);
+        harness.runFor(milliseconds(5000));
+        CPPUNIT_ASSERT(!caller.m_closed);
+        harness.sendOn(caller, "GET", "/read/1", "a1");
+        harness.runUntil("answer", [&] { return caller.isAnswered() || caller.m_closed; });
+        CPPUNIT_ASSERT(caller.isAnswered());
+    }
+
 private:
     /** Closes a listener while connections are opened, and adds what became of these. */
     static void closeDuringFloods(NetLoop &loop, size_t &answered, size_t &lost)
