Log how much time a refused request had, and what it takes up

How much time they had left was not in the log, so the cause was only suspected.

Change: the line of a request that ends without an answer from a replica has `allowed_ms`, from its arrival to its deadline, and `resumes`.

--- a/src/gateway_requests.cpp
+++ b/src/gateway_requests.cpp
@@ -54,6 +54,7 @@
 void logExchangeEnd(Gateway &gateway, const Exchange &exchange, int status, Reason reason)
 {
     const Duration age = gatewayNow(gateway) - exchange.m_receivedAt;
+    const Duration allowed = exchange.m_deadline == TimePoint() ? Duration() : exchange.m_deadline - exchange.m_receivedAt;
     writeLog(LogLevel::Info,
              "request",
              "Request ended without an answer from a replica.",
@@ -62,6 +63,8 @@
               {"status", fmt::format("{}", status)},
               {"reason", std::string(toString(reason))},
               {"age_ms", fmt::format("{}", age.count() / 1000)},
+              {"allowed_ms", fmt::format("{}", allowed.count() / 1000)},
+              {"resumes", std::string(findHeader(exchange.m_request.m_headers, Platform::Resumes).value_or(""))},
               {"version", fmt::format("{}", exchange.m_configuration ? exchange.m_configuration->m_version : 0)},
               {"store_age_ms", fmt::format("{}", watchAge(gateway).count() / 1000)},
               {"store", gateway.m_store.m_watch.m_progress.m_isInterrupted ? "interrupted" : "followed"},
