Refuse take-ups without time before the store is asked

Cause: whether the stages can end in time was judged only when they begin, which for a take-up is after the store has told its version.

Change: the same rule, refuseIfUnreachable(), is applied when the deadline of a request is known, and again when its stages begin.

The new test counts the calls to the store; it fails before (4, not 3).

--- a/src/gateway_internal.h
+++ b/src/gateway_internal.h
@@ -354,6 +354,8 @@
     NetTimer m_releaseTimer;
 };
 
+/** Refuses a request whose stages can't end before its deadline, even with empty queues. @return whether it was refused. */
+bool refuseIfUnreachable(Gateway &gateway, Exchange &exchange);
 /** Starts the stages of a new request, or refuses it when it can't be answered before its deadline. */
 void beginStages(Gateway &gateway, Exchange &exchange);
 void startStages(Gateway &gateway, Exchange &exchange);
--- a/src/gateway_requests.cpp
+++ b/src/gateway_requests.cpp
@@ -222,6 +222,10 @@
         refuseExchange(gateway, exchange, Reason::UpstreamEvacuated);
         return;
     }
+    // Before the store is asked for the version of a stream that is taken up.
+    if (refuseIfUnreachable(gateway, exchange)) {
+        return;
+    }
     startDeadlineTimer(gateway, exchange, exchange.m_firstEventDeadline);
     if (!beginTakeUp(gateway, exchange)) {
         beginStages(gateway, exchange);
--- a/src/gateway_stages.cpp
+++ b/src/gateway_stages.cpp
@@ -496,18 +496,26 @@
 
 } // namespace
 
-void beginStages(Gateway &gateway, Exchange &exchange)
+bool refuseIfUnreachable(Gateway &gateway, Exchange &exchange)
 {
     if (isPlanDone(exchange.m_plan)) {
-        startAttempt(gateway, exchange);
-        return;
+        return false;
     }
     const Duration work = expectedPlanTime(*exchange.m_configuration, *exchange.m_route, exchange.m_plan) + ExpectedRunTime;
-    if (isUnreachable(exchange.m_firstEventDeadline, work, gatewayNow(gateway))) {
-        refuseExchange(gateway, exchange, Reason::DeadlineUnreachable);
-        return;
+    if (!isUnreachable(exchange.m_firstEventDeadline, work, gatewayNow(gateway))) {
+        return false;
+    }
+    refuseExchange(gateway, exchange, Reason::DeadlineUnreachable);
+    return true;
+}
+
+void beginStages(Gateway &gateway, Exchange &exchange)
+{
+    if (isPlanDone(exchange.m_plan)) {
+        startAttempt(gateway, exchange);
+    } else if (!refuseIfUnreachable(gateway, exchange)) {
+        startStages(gateway, exchange);
     }
-    startStages(gateway, exchange);
 }
 
 void startStages(Gateway &gateway, Exchange &exchange)
--- a/tests/test_software_versions.cpp
+++ b/tests/test_software_versions.cpp
@@ -100,9 +100,10 @@
         return ask(gateway, id, {{"Resumes", resumes}, {"Last-Event-Id", "1"}});
     }
 
-    int ask(const GatewayHarness::Process &gateway, const std::string &id, const HttpHeaders &headers)
+    int
+    ask(const GatewayHarness::Process &gateway, const std::string &id, const HttpHeaders &headers, const std::string &target = "/stream/1")
     {
-        Caller &caller = m_harness.send(gateway, "POST", "/stream/1", id, headers);
+        Caller &caller = m_harness.send(gateway, "POST", target, id, headers);
         m_harness.runUntil("answer to " + id, [&caller] { return caller.isAnswered() || caller.m_closed; });
         return caller.isAnswered() ? caller.m_reader.m_status : 0;
     }
@@ -121,6 +122,7 @@
     CPPUNIT_TEST(nothingIsJoinedWhileTheStoreIsAway);
     CPPUNIT_TEST(malformedTakeUpsAreRejected);
     CPPUNIT_TEST(takeUpWithoutNameIsNotGuessed);
+    CPPUNIT_TEST(takeUpWithoutTimeForItsStagesIsRefusedBeforeTheStoreIsAsked);
     CPPUNIT_TEST(oneVersionCostsNoWrites);
     CPPUNIT_TEST_SUITE_END();
 
@@ -285,6 +287,19 @@
         CPPUNIT_ASSERT(!service.m_versions.contains("r2"));
     }
 
+    // Guards against a call to the store, and the wait for its answer, for a take-up whose stages can't end before its deadline.
+    void takeUpWithoutTimeForItsStagesIsRefusedBeforeTheStoreIsAsked()
+    {
+        VersionedService service;
+        service.add("i-1", "v1");
+        const GatewayHarness::Process &gateway = service.start("g1");
+        service.m_harness.runFor(SettleTime);
+        const int64_t before = service.m_harness.m_store.m_listings;
+        const HttpHeaders takeUp = {{"Resumes", "a1"}, {"Last-Event-Id", "1"}, {"X-Deadline-Ms", "450"}, {"X-Pieces", "1"}};
+        CPPUNIT_ASSERT_EQUAL(503, service.ask(gateway, "r1", takeUp, "/chain/1"));
+        CPPUNIT_ASSERT_EQUAL(before, service.m_harness.m_store.m_listings);
+    }
+
     // Guards against calls to the store for streams that can't be joined to another version.
     void oneVersionCostsNoWrites()
     {
